--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of verbenathread; each module mirrors one of the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for those who work on verbenathread; not part of the product."""
--- /dev/null
+++ b/verbenathread/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's side of control."""
--- /dev/null
+++ b/verbenathread/clock.py
@@ -0,0 +1,71 @@
+"""One clock for the whole program, in milliseconds."""
+
+import asyncio
+import time
+from typing import Protocol
+
+MS_PER_SECOND = 1000
+_NS_PER_MS = 1_000_000
+
+
+class Clock(Protocol):
+    """A source of time that tests and replays can replace."""
+
+    def now(self) -> int:
+        """Return monotonic time in ms, for leases and deadlines."""
+
+    def wall(self) -> int:
+        """Return time since the epoch in ms, for people to read."""
+
+
+class SystemClock:
+    """The machine's clocks."""
+
+    def now(self) -> int:
+        """Return monotonic time in ms."""
+        return time.monotonic_ns() // _NS_PER_MS
+
+    def wall(self) -> int:
+        """Return time since the epoch in ms."""
+        return time.time_ns() // _NS_PER_MS
+
+
+class LoopClock:
+    """The clock of the running event loop, which a test may replace."""
+
+    def now(self) -> int:
+        """Return the loop's time in ms."""
+        return int(asyncio.get_running_loop().time() * MS_PER_SECOND)
+
+    def wall(self) -> int:
+        """Return time since the epoch in ms."""
+        return time.time_ns() // _NS_PER_MS
+
+
+class ManualClock:
+    """A clock that moves only when told to."""
+
+    def __init__(self, start: int = 0) -> None:
+        """Start at ``start`` ms."""
+        self._now = start
+
+    def now(self) -> int:
+        """Return the time in ms that was last set."""
+        return self._now
+
+    def wall(self) -> int:
+        """Return the same time as :meth:`now`."""
+        return self._now
+
+    def advance(self, step: int) -> None:
+        """Move forward by ``step`` ms."""
+        self._now += step
+
+    def move_to(self, moment: int) -> None:
+        """Move to ``moment`` ms; the clock never goes back."""
+        self._now = max(self._now, moment)
+
+
+def seconds(duration: int) -> float:
+    """Return ``duration`` ms in seconds, as the standard library takes it."""
+    return duration / MS_PER_SECOND
--- /dev/null
+++ b/verbenathread/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log: storage, elections, replication and snapshots."""
--- /dev/null
+++ b/verbenathread/control/__init__.py
@@ -0,0 +1,1 @@
+"""What control keeps on the replicated log, and its daemon."""
--- /dev/null
+++ b/verbenathread/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/verbenathread/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces over the real decision parts."""
--- /dev/null
+++ b/verbenathread/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: admission, queues, engines, limits, retries."""
--- /dev/null
+++ b/verbenathread/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from proto/ by ``make schema``."""
--- /dev/null
+++ b/verbenathread/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings in INI: parsing, checks, defaults and the tree of branches."""
