--- /dev/null
+++ b/verbenathread/settings/node.py
@@ -0,0 +1,185 @@
+"""Settings of one node, from a file beside the program."""
+
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from google.protobuf.message import Message
+
+from verbenathread.exceptions import SettingsError
+from verbenathread.schema import settings_pb2
+from verbenathread.settings.ini import (
+    ParsedSection,
+    fill,
+    naming_problem,
+    parse_ini,
+    unknown_section,
+)
+from verbenathread.settings.rules import Problem
+from verbenathread.types import Address, Peer
+
+_LOWEST_PORT = 0
+_HIGHEST_PORT = 65535
+_ADDRESS_REMEDY = 'write an IP number and a port, such as 127.0.0.1:8080'
+_PEERS_REMEDY = 'write id@ip:port, comma separated'
+_ADDRESS_OPTIONS = (
+    ('entry', 'listen'),
+    ('entry', 'peer_listen'),
+    ('entry', 'metrics_listen'),
+    ('control', 'listen'),
+    ('control', 'metrics_listen'),
+)
+_OptionReader = tuple[str, str, Callable[[str], object]]
+
+_ROLES = ('entry', 'control')
+_SECTIONS = ('node', 'log', *_ROLES)
+
+
+def parse_address(text: str) -> Address:
+    """Read ``ip:port``; raise :class:`SettingsError` when it is none."""
+    host, _, port_text = text.strip().rpartition(':')
+    host = host.strip('[]')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise SettingsError(f'{text!r} is no address; {_ADDRESS_REMEDY}')
+    if not re.fullmatch(r'\d{1,5}', port_text):
+        raise SettingsError(f'{text!r} has no port; {_ADDRESS_REMEDY}')
+    port = int(port_text)
+    if not _LOWEST_PORT <= port <= _HIGHEST_PORT:
+        raise SettingsError(f'{text!r} has no such port; {_ADDRESS_REMEDY}')
+    return Address(host, port)
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Read comma-separated addresses."""
+    return tuple(parse_address(part) for part in _parts(text))
+
+
+def parse_peers(text: str) -> tuple[Peer, ...]:
+    """Read comma-separated ``id@ip:port``."""
+    peers = []
+    for part in _parts(text):
+        node_id, at_sign, address = part.partition('@')
+        if not at_sign or not node_id:
+            raise SettingsError(f'{part!r} is no peer; {_PEERS_REMEDY}')
+        peers.append(Peer(node_id, parse_address(address)))
+    if len({peer.node_id for peer in peers}) < len(peers):
+        raise SettingsError('a peer stands twice; keep one of the two')
+    return tuple(peers)
+
+
+def check_node_text(
+    source: str, text: str
+) -> tuple[settings_pb2.NodeSettings, list[Problem]]:
+    """Read the settings of a node and return every problem found."""
+    node = settings_pb2.NodeSettings()
+    parsed = parse_ini(source, text)
+    if parsed.problems:
+        return node, list(parsed.problems)
+    problems = []
+    section_by_title: dict[str, ParsedSection] = {}
+    for section in parsed.sections:
+        if section.title in _SECTIONS:
+            section_by_title[section.title] = section
+            continue
+        problems.append(unknown_section(source, section, _SECTIONS))
+    for title in _SECTIONS:
+        if title in _ROLES and title not in section_by_title:
+            continue
+        present = section_by_title.get(title, ParsedSection(title, '', {}))
+        problems.extend(_fill_section(source, present, getattr(node, title)))
+    problems.extend(_check_role(source, section_by_title))
+    if not problems:
+        problems.extend(_check_addresses(source, node))
+    return node, problems
+
+
+def load_node_settings(path: str) -> settings_pb2.NodeSettings:
+    """Read the file at ``path``; raise :class:`SettingsError` if it is bad."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f'{path}: {error}; name a readable INI file in UTF-8'
+        )
+    node, problems = check_node_text(path, text)
+    if problems:
+        raise SettingsError('\n'.join(str(problem) for problem in problems))
+    return node
+
+
+def _check_role(
+    source: str, section_by_title: Mapping[str, ParsedSection]
+) -> list[Problem]:
+    if any(role in section_by_title for role in _ROLES):
+        return []
+    return [
+        Problem(
+            source,
+            '',
+            '',
+            'there is neither an [entry] nor a [control] section',
+            'add the section of the role that this node runs',
+        )
+    ]
+
+
+def _fill_section(
+    source: str, section: ParsedSection, target: Message
+) -> list[Problem]:
+    target.SetInParent()
+    problem = naming_problem(source, section, target)
+    if problem is not None:
+        return [problem]
+    return fill(source, section, target)
+
+
+def _check_addresses(
+    source: str, node: settings_pb2.NodeSettings
+) -> list[Problem]:
+    problems = []
+    readers: list[_OptionReader] = [
+        (title, option, parse_address) for title, option in _ADDRESS_OPTIONS
+    ]
+    readers.append(('entry', 'control', parse_addresses))
+    readers.append(('entry', 'cell', parse_peers))
+    readers.append(('control', 'voters', parse_peers))
+    for title, option, reader in readers:
+        if not node.HasField(title):
+            continue
+        text = getattr(getattr(node, title), option)
+        try:
+            reader(text)
+        except SettingsError as error:
+            message, _, remedy = str(error).partition('; ')
+            problems.append(Problem(source, title, option, message, remedy))
+    problems.extend(_check_own_name(source, node))
+    return problems
+
+
+def _check_own_name(
+    source: str, node: settings_pb2.NodeSettings
+) -> list[Problem]:
+    if not node.HasField('entry'):
+        return []
+    try:
+        cell = parse_peers(node.entry.cell)
+    except SettingsError:
+        return []
+    if any(peer.node_id == node.node.id for peer in cell):
+        return []
+    return [
+        Problem(
+            source,
+            'entry',
+            'cell',
+            f'this node, {node.node.id}, is not in its own cell',
+            f'add {node.node.id}@ its peer_listen address',
+        )
+    ]
+
+
+def _parts(text: str) -> list[str]:
+    return [part.strip() for part in text.split(',') if part.strip()]
--- /dev/null
+++ b/verbenathread/settings/rules.py
@@ -0,0 +1,147 @@
+"""The rules that the schema gives for each option, and their checks."""
+
+import re
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+
+from verbenathread.schema import settings_pb2
+
+_TRUE_WORDS = frozenset(('yes', 'true', 'on', '1'))
+_FALSE_WORDS = frozenset(('no', 'false', 'off', '0'))
+_WHOLE_TYPES = frozenset(
+    (
+        FieldDescriptor.TYPE_UINT32,
+        FieldDescriptor.TYPE_UINT64,
+    )
+)
+
+
+class Problem(NamedTuple):
+    """One thing wrong with a settings text, and what to write instead."""
+
+    source: str
+    section: str
+    option: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line."""
+        place = f'[{self.section}]' if self.section else ''
+        if self.option:
+            place = f'{place} {self.option}'.strip()
+        return f'{self.source}: {place}: {self.message}; {self.remedy}'
+
+
+class BadValueError(ValueError):
+    """A value breaks its option's rule; holds what to write instead."""
+
+    def __init__(self, message: str, remedy: str) -> None:
+        """Keep the remedy beside the message."""
+        super().__init__(message)
+        self.remedy = remedy
+
+
+class Option(NamedTuple):
+    """One option of a section: its field and its rule."""
+
+    name: str
+    field: FieldDescriptor
+    rule: settings_pb2.Rule
+
+    def kind(self) -> str:
+        """Return the kind of value in words, for people."""
+        if self.rule.choices:
+            return f'one of {", ".join(self.rule.choices)}'
+        if self.field.type == FieldDescriptor.TYPE_BOOL:
+            return 'yes or no'
+        if self.field.type in _WHOLE_TYPES:
+            return 'whole number'
+        if self.field.type == FieldDescriptor.TYPE_DOUBLE:
+            return 'number'
+        return 'text'
+
+
+def section_of(message: Message) -> settings_pb2.Section:
+    """Return how the section of a message is named."""
+    # The generated stubs do not type the extensions of options.
+    extensions: Any = message.DESCRIPTOR.GetOptions().Extensions
+    section: settings_pb2.Section = extensions[settings_pb2.section]
+    return section
+
+
+def options_of(message: Message) -> Iterator[Option]:
+    """Yield the options of one section in the order of the schema."""
+    fields: Any = message.DESCRIPTOR.fields
+    for field in fields:
+        rule = field.GetOptions().Extensions[settings_pb2.rule]
+        yield Option(field.name, field, rule)
+
+
+def fill_defaults(target: Message) -> None:
+    """Set every option of one section message to its default."""
+    for option in options_of(target):
+        if option.rule.default_text:
+            set_option(target, option, option.rule.default_text)
+
+
+def set_option(target: Message, option: Option, text: str) -> None:
+    """Check ``text`` and set it on ``target``.
+
+    Raises :class:`BadValueError`, whose remedy says what to write.
+    """
+    setattr(target, option.name, _convert(option, text.strip()))
+
+
+def _convert(option: Option, text: str) -> Any:
+    rule = option.rule
+    if rule.choices and text not in rule.choices:
+        raise BadValueError(
+            f'{text!r} is not a choice', f'write {option.kind()}'
+        )
+    if option.field.type == FieldDescriptor.TYPE_BOOL:
+        return _convert_bool(text)
+    if option.field.type == FieldDescriptor.TYPE_STRING:
+        return _convert_string(option, text)
+    return _convert_number(option, text)
+
+
+def _convert_bool(text: str) -> bool:
+    word = text.lower()
+    if word in _TRUE_WORDS:
+        return True
+    if word in _FALSE_WORDS:
+        return False
+    raise BadValueError(f'{text!r} is neither yes nor no', 'write yes or no')
+
+
+def _convert_string(option: Option, text: str) -> str:
+    pattern = option.rule.pattern
+    if pattern and re.fullmatch(pattern, text) is None:
+        shown = '(not shown)' if option.rule.secret else repr(text)
+        raise BadValueError(
+            f'{shown} does not fit', f'write a value that matches {pattern}'
+        )
+    if option.rule.required and not text:
+        raise BadValueError('the value is empty', f'write {option.rule.help}')
+    return text
+
+
+def _convert_number(option: Option, text: str) -> int | float:
+    whole = option.field.type in _WHOLE_TYPES
+    rule = option.rule
+    unit = f' {rule.unit}' if rule.unit else ''
+    remedy = (
+        f'write a {option.kind()} from {rule.least:g} to {rule.most:g}{unit}'
+    )
+    try:
+        number = int(text) if whole else float(text)
+    except ValueError:
+        raise BadValueError(f'{text!r} is not a {option.kind()}', remedy)
+    # The comparison is written so that a NaN fails it.
+    if not rule.least <= number <= rule.most:
+        raise BadValueError(f'{text} is out of range', remedy)
+    return number
