Add the command line, the settings page and the one binary

Ruled out: a self-extractor (forks); shiv's own install step (asks the registry for what the environment already holds), so the installed files are copied instead. Before: an empty parser. Conclusion: the other commands plug into one table.

--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,68 @@
+"""Build the one binary, dist/verbenathread: a single-file archive.
+
+It holds the package and its pinned run-time libraries, as they are installed
+in this environment, and runs in the interpreter's own process.
+"""
+
+import importlib.metadata
+import shutil
+import sys
+from pathlib import Path
+
+from shiv.cli import main as run_shiv
+
+_ROOT = Path(__file__).resolve().parent.parent
+_PINS = _ROOT / 'requirements' / 'run.txt'
+_SITE = _ROOT / 'build' / 'site'
+_BINARY = _ROOT / 'dist' / 'verbenathread'
+_INTERPRETER = '/usr/bin/env python3'
+
+
+def pinned_names(pins: Path) -> list[str]:
+    """Return the names of the libraries that a requirements file pins."""
+    lines = pins.read_text(encoding='utf-8').splitlines()
+    return [line.partition('==')[0] for line in lines if '==' in line]
+
+
+def copy_library(name: str, site: Path) -> None:
+    """Copy the installed files of one library below ``site``."""
+    library = importlib.metadata.distribution(name)
+    for found in library.files or ():
+        # Scripts lie outside of the library's folder and are not needed.
+        if '..' in found.parts or '__pycache__' in found.parts:
+            continue
+        target = site / found
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(str(found.locate()), target)
+
+
+def build(binary: Path = _BINARY, site: Path = _SITE) -> None:
+    """Build the archive at ``binary``."""
+    shutil.rmtree(site, ignore_errors=True)
+    for name in pinned_names(_PINS):
+        copy_library(name, site)
+    shutil.copytree(
+        _ROOT / 'verbenathread',
+        site / 'verbenathread',
+        ignore=shutil.ignore_patterns('__pycache__'),
+    )
+    binary.parent.mkdir(parents=True, exist_ok=True)
+    run_shiv(
+        [
+            '--site-packages',
+            str(site),
+            '--entry-point',
+            'verbenathread.cmdline:main',
+            '--python',
+            _INTERPRETER,
+            '--output-file',
+            str(binary),
+            '--compressed',
+        ],
+        standalone_mode=False,
+    )
+
+
+if __name__ == '__main__':
+    build()
+    sys.stdout.write(f'{_BINARY.relative_to(_ROOT)} is built\n')
--- /dev/null
+++ b/verbenathread/commands.py
@@ -0,0 +1,115 @@
+"""The one table of commands."""
+
+import argparse
+import platform
+import sys
+from pathlib import Path
+from typing import Any
+
+from google.protobuf.json_format import MessageToDict
+
+from verbenathread import __version__
+from verbenathread.command import Command, Rendered, argument
+from verbenathread.exceptions import SettingsError
+from verbenathread.settings.node import check_node_text, load_node_settings
+from verbenathread.settings.rules import Problem, options_of
+from verbenathread.settings.tree import ROOT_PATH, check_tree
+
+_SETTINGS_ARGUMENT = argument(
+    '--settings',
+    required=True,
+    metavar='FILE',
+    help='INI file of this node; docs/SETTINGS.md lists its options',
+)
+_HIDDEN = '(hidden)'
+
+
+def run_check(options: argparse.Namespace) -> Rendered:
+    """Check settings files without running anything."""
+    problems: list[Problem] = []
+    for name in options.files:
+        problems.extend(_check_file(name, options.branch))
+    lines = [str(problem) for problem in problems]
+    if not problems:
+        lines.append(f'{len(options.files)} files checked, no problem')
+    return Rendered(
+        '\n'.join(lines),
+        [problem._asdict() for problem in problems],
+        SettingsError.exit_code if problems else 0,
+    )
+
+
+def run_debug(options: argparse.Namespace) -> Rendered:
+    """Tell what the program sees: versions and the settings in effect."""
+    seen: dict[str, Any] = {
+        'verbenathread': __version__,
+        'python': platform.python_version(),
+        'platform': platform.platform(),
+        'program': sys.argv[0],
+    }
+    if options.settings:
+        node = load_node_settings(options.settings)
+        for field, section in node.ListFields():
+            shown = MessageToDict(
+                section,
+                preserving_proto_field_name=True,
+                always_print_fields_with_no_presence=True,
+            )
+            for option in options_of(section):
+                if option.rule.secret:
+                    shown[option.name] = _HIDDEN
+            seen[f'[{field.name}]'] = shown
+    return Rendered('\n'.join(_debug_lines(seen)), seen)
+
+
+def _debug_lines(seen: dict[str, Any]) -> list[str]:
+    lines = []
+    for name, found in seen.items():
+        if not isinstance(found, dict):
+            lines.append(f'{name}: {found}')
+            continue
+        lines.append(name)
+        for option, setting in sorted(found.items()):
+            lines.append(f'  {option} = {setting}')
+    return lines
+
+
+def _check_file(name: str, branch: str | None) -> list[Problem]:
+    try:
+        text = Path(name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        remedy = 'name a readable INI file in UTF-8'
+        return [Problem(name, '', '', str(error), remedy)]
+    if branch is None:
+        return check_node_text(name, text)[1]
+    return check_tree({branch: text})
+
+
+CORE_COMMANDS = (
+    Command(
+        'check',
+        'Check settings files: what is wrong, and what to write instead.',
+        (
+            argument('files', nargs='+', metavar='FILE'),
+            argument(
+                '--branch',
+                metavar='PATH',
+                help=f'check as a branch of the tree, such as {ROOT_PATH}',
+            ),
+        ),
+        'verbenathread check examples/tillery/entry-1.ini',
+        run_check,
+    ),
+    Command(
+        'debug',
+        'Print what the program sees; keys are hidden.',
+        (argument('--settings', metavar='FILE', help='INI file of a node'),),
+        'verbenathread debug --settings examples/tillery/entry-1.ini',
+        run_debug,
+    ),
+)
+
+
+def all_commands() -> tuple[Command, ...]:
+    """Return every command of the program."""
+    return CORE_COMMANDS
