--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -4,9 +4,9 @@
 in this environment, and runs in the interpreter's own process.
 """
 
-import importlib.metadata
 import shutil
 import sys
+from importlib import metadata
 from pathlib import Path
 
 from shiv.cli import main as run_shiv
@@ -26,7 +26,7 @@
 
 def copy_library(name: str, site: Path) -> None:
     """Copy the installed files of one library below ``site``."""
-    library = importlib.metadata.distribution(name)
+    library = metadata.distribution(name)
     for found in library.files or ():
         # Scripts lie outside of the library's folder and are not needed.
         if '..' in found.parts or '__pycache__' in found.parts:
