Add the state machine of control and its claim table

Cause: changes of the tree, orders, claims and the audit trail need one deterministic state that every replica builds from the log. Shared: control.proto gains StoredAnswer.body_omitted and ReportNodes.

--- /dev/null
+++ b/verbenathread/control/audit.py
@@ -0,0 +1,79 @@
+"""The audit trail: who changed what, when, and what was refused.
+
+Bounded by count and by the bytes of the texts it holds; the oldest records go
+first. Refused texts stand in it by their hash alone, since a text that was
+not accepted may hold a secret.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+
+from verbenathread.schema import control_pb2
+from verbenathread.settings.tree import covers
+
+MOST_RECORDS = 10_000
+MOST_TEXT_BYTES = 16_777_216
+ACCEPTED = 'accepted'
+
+
+class AuditTrail:
+    """Records in the order of the log."""
+
+    def __init__(
+        self, most: int = MOST_RECORDS, most_bytes: int = MOST_TEXT_BYTES
+    ) -> None:
+        """Keep at most ``most`` records and ``most_bytes`` of them."""
+        self._most = most
+        self._most_bytes = most_bytes
+        self._records: deque[control_pb2.AuditRecord] = deque()
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        """Return how many records are kept."""
+        return len(self._records)
+
+    def add(self, record: control_pb2.AuditRecord) -> None:
+        """Append a record and drop the oldest beyond the bounds."""
+        self._records.append(record)
+        self._bytes += record.ByteSize()
+        while len(self._records) > self._most or self._over_bytes():
+            self._bytes -= self._records.popleft().ByteSize()
+
+    def after(
+        self, index: int, limit: int, path: str = ''
+    ) -> list[control_pb2.AuditRecord]:
+        """Return up to ``limit`` records after ``index``, oldest first."""
+        found: list[control_pb2.AuditRecord] = []
+        for record in self._records:
+            if len(found) >= limit:
+                break
+            if record.index <= index or not _concerns(record, path):
+                continue
+            found.append(record)
+        return found
+
+    def history(self, path: str, limit: int) -> list[control_pb2.AuditRecord]:
+        """Return the last accepted changes of one branch, newest first."""
+        found: list[control_pb2.AuditRecord] = []
+        for record in reversed(self._records):
+            if len(found) >= limit:
+                break
+            if record.subject == path and record.result == ACCEPTED:
+                found.append(record)
+        return found
+
+    def images(self) -> Iterator[control_pb2.AuditRecord]:
+        """Yield the records for a snapshot, oldest first."""
+        yield from self._records
+
+    def load(self, images: Iterable[control_pb2.AuditRecord]) -> None:
+        """Replace the records by what a snapshot holds."""
+        self._records = deque(images)
+        self._bytes = sum(record.ByteSize() for record in self._records)
+
+    def _over_bytes(self) -> bool:
+        return self._bytes > self._most_bytes and len(self._records) > 1
+
+
+def _concerns(record: control_pb2.AuditRecord, path: str) -> bool:
+    return not path or covers(path, record.subject)
--- /dev/null
+++ b/verbenathread/control/claims.py
@@ -0,0 +1,382 @@
+"""Claims for calls that may not be repeated: each runs at most once.
+
+A claim is held by one attempt until it is settled. Only a settled "not run"
+lets another attempt in, and exactly one. A claim that nobody settled within
+its time limit, or whose owner is gone, has an unknown outcome for good, unless
+the attempt that held it still tells what became of it. Every time here is the
+wall time that commands carry.
+"""
+
+import heapq
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from verbenathread.schema import commands_pb2, control_pb2
+
+_COMPLETED = control_pb2.CLAIM_COMPLETED
+_HELD = control_pb2.CLAIM_HELD
+_IN_PROGRESS = control_pb2.CLAIM_IN_PROGRESS
+_MISMATCH = control_pb2.CLAIM_MISMATCH
+_NOT_RUN = control_pb2.CLAIM_NOT_RUN
+_OUTCOME_UNKNOWN = control_pb2.CLAIM_OUTCOME_UNKNOWN
+
+MOST_ANSWER_BYTES = 65_536
+MOST_TABLE_BYTES = 50_331_648
+MOST_KEY_BYTES = 255
+MOST_ENDED_ATTEMPTS = 16
+_LONGEST_LIMIT = 3_600_000
+_LEAST_RETENTION = 60_000
+_LONGEST_RETENTION = 2_592_000_000
+_ASK_AGAIN = 1000
+_MS_PER_SECOND = 1000
+_SETTLED_STATES = frozenset((_COMPLETED, _NOT_RUN, _OUTCOME_UNKNOWN))
+
+
+class ClaimKey(NamedTuple):
+    """What makes two calls the same call."""
+
+    account: str
+    service: str
+    idempotency_key: str
+
+
+class Owner(NamedTuple):
+    """One run of the node that holds a claim."""
+
+    node_id: str
+    incarnation: int
+
+
+class ClaimTable:
+    """Claims by key; the state machine is its only writer."""
+
+    def __init__(self, most_bytes: int = MOST_TABLE_BYTES) -> None:
+        """Keep at most ``most_bytes`` of claims and stored answers."""
+        self._most_bytes = most_bytes
+        self._bytes = 0
+        self._claim_by_key: dict[ClaimKey, commands_pb2.ClaimImage] = {}
+        self._held_by_owner: dict[Owner, set[ClaimKey]] = {}
+        self._incarnation_by_node: dict[str, int] = {}
+        # (wall time to forget at, key); entries that moved are stale.
+        self._forget_queue: list[tuple[int, ClaimKey]] = []
+
+    def __len__(self) -> int:
+        """Return how many claims are kept."""
+        return len(self._claim_by_key)
+
+    def owners(self) -> tuple[Owner, ...]:
+        """Return the owners that hold a claim."""
+        return tuple(sorted(self._held_by_owner))
+
+    def claim(
+        self, request: control_pb2.ClaimRequest, now: int
+    ) -> control_pb2.ClaimReply:
+        """Let the attempt in, or answer what became of the earlier one."""
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return refusal
+        key = _key_of(request)
+        claim = self._claim_by_key.get(key)
+        if claim is None:
+            return self._open(request, now, ())
+        if claim.body_sha256 != request.body_sha256:
+            return _reply(_MISMATCH)
+        self._lapse(key, claim, now)
+        if claim.state == _NOT_RUN:
+            if _ended(claim, request.attempt_id) is not None:
+                return _reply(_NOT_RUN)
+            return self._open(request, now, claim.ended_attempts)
+        if claim.state == _HELD:
+            return self._answer_held(claim, request, now)
+        return _reply(claim.state, claim.stored)
+
+    def settle(
+        self, request: control_pb2.SettleRequest, now: int
+    ) -> control_pb2.SettleReply:
+        """Record the outcome of the attempt that holds the claim."""
+        key = _key_of(request)
+        claim = self._claim_by_key.get(key)
+        if claim is None:
+            return _settled(
+                control_pb2.NOT_FOUND,
+                'the claim is not known or was forgotten; claim it first',
+            )
+        if request.state not in _SETTLED_STATES:
+            return _settled(
+                control_pb2.INVALID,
+                'the outcome must be completed, not run or unknown',
+            )
+        ended = _ended(claim, request.attempt_id)
+        if ended is None and claim.attempt_id != request.attempt_id:
+            return _settled(
+                control_pb2.CONFLICT,
+                'another attempt holds this claim; do not send the call',
+            )
+        self._lapse(key, claim, now)
+        stands = claim.state if ended is None else ended
+        if stands not in {_HELD, _OUTCOME_UNKNOWN}:
+            return _settled_again(stands, request.state)
+        self._settle(key, claim, request, now)
+        return _settled(control_pb2.OK, '')
+
+    def owner_gone(self, gone: commands_pb2.OwnerGone) -> int:
+        """Turn the claims of a gone owner to unknown; return how many."""
+        turned = 0
+        for owner in self.owners():
+            if owner.node_id != gone.node_id:
+                continue
+            if owner.incarnation > gone.incarnation:
+                continue
+            keys = self._held_by_owner.pop(owner)
+            turned += len(keys)
+            for key in keys:
+                self._claim_by_key[key].state = _OUTCOME_UNKNOWN
+        return turned
+
+    def forget(self, now: int) -> None:
+        """Drop the claims whose retention is over."""
+        while self._forget_queue and self._forget_queue[0][0] <= now:
+            moment, key = heapq.heappop(self._forget_queue)
+            claim = self._claim_by_key.get(key)
+            if claim is None or claim.forget_ms != moment:
+                continue
+            self._release(key, claim)
+            self._bytes -= claim.ByteSize()
+            self._claim_by_key.pop(key)
+
+    def images(self) -> Iterable[commands_pb2.ClaimImage]:
+        """Return the claims for a snapshot, sorted by key."""
+        return [claim for _, claim in sorted(self._claim_by_key.items())]
+
+    def owner_images(self) -> Iterable[commands_pb2.OwnerImage]:
+        """Return the greatest incarnation of each node, sorted."""
+        return [
+            commands_pb2.OwnerImage(node_id=node_id, incarnation=incarnation)
+            for node_id, incarnation in sorted(
+                self._incarnation_by_node.items()
+            )
+        ]
+
+    def load(
+        self,
+        claims: Iterable[commands_pb2.ClaimImage],
+        owners: Iterable[commands_pb2.OwnerImage],
+    ) -> None:
+        """Replace the table by what a snapshot holds."""
+        self._claim_by_key = {_key_of(claim): claim for claim in claims}
+        self._incarnation_by_node = {
+            owner.node_id: owner.incarnation for owner in owners
+        }
+        self._held_by_owner = {}
+        self._bytes = 0
+        self._forget_queue = []
+        for key, claim in self._claim_by_key.items():
+            self._bytes += claim.ByteSize()
+            self._forget_queue.append((claim.forget_ms, key))
+            if claim.state == _HELD:
+                self._hold(key, claim)
+        heapq.heapify(self._forget_queue)
+
+    def _refuse(
+        self, request: control_pb2.ClaimRequest
+    ) -> control_pb2.ClaimReply | None:
+        if not request.attempt_id or not request.idempotency_key:
+            return _refused('a claim needs an idempotency key and an attempt')
+        if len(request.idempotency_key.encode()) > MOST_KEY_BYTES:
+            return _refused(
+                f'the idempotency key is over {MOST_KEY_BYTES} bytes; '
+                + 'send a shorter one'
+            )
+        newest = self._incarnation_by_node.get(request.node_id, 0)
+        if request.node_incarnation < newest:
+            return _refused('this run of the node was replaced; restart it')
+        self._replace(request.node_id, request.node_incarnation)
+        return None
+
+    def _replace(self, node_id: str, incarnation: int) -> None:
+        newest = self._incarnation_by_node.get(node_id, 0)
+        if incarnation <= newest:
+            return
+        self._incarnation_by_node[node_id] = incarnation
+        self.owner_gone(
+            commands_pb2.OwnerGone(node_id=node_id, incarnation=incarnation - 1)
+        )
+
+    def _open(
+        self,
+        request: control_pb2.ClaimRequest,
+        now: int,
+        ended: Iterable[commands_pb2.AttemptEnd],
+    ) -> control_pb2.ClaimReply:
+        limit = min(request.time_limit_ms, _LONGEST_LIMIT)
+        retention = _retention_of(request)
+        claim = commands_pb2.ClaimImage(
+            account=request.account,
+            service=request.service,
+            idempotency_key=request.idempotency_key,
+            body_sha256=request.body_sha256,
+            state=_HELD,
+            attempt_id=request.attempt_id,
+            node_id=request.node_id,
+            node_incarnation=request.node_incarnation,
+            lapses_ms=now + limit,
+            forget_ms=now + limit + retention,
+            retention_ms=retention,
+            ended_attempts=ended,
+        )
+        key = _key_of(request)
+        earlier = self._claim_by_key.get(key)
+        growth = claim.ByteSize()
+        if earlier is not None:
+            growth -= earlier.ByteSize()
+        if self._bytes + growth > self._most_bytes:
+            return _full()
+        self._bytes += growth
+        self._claim_by_key[key] = claim
+        self._hold(key, claim)
+        heapq.heappush(self._forget_queue, (claim.forget_ms, key))
+        return _reply(_HELD)
+
+    def _answer_held(
+        self,
+        claim: commands_pb2.ClaimImage,
+        request: control_pb2.ClaimRequest,
+        now: int,
+    ) -> control_pb2.ClaimReply:
+        same_attempt = (
+            claim.attempt_id == request.attempt_id
+            and claim.node_id == request.node_id
+            and claim.node_incarnation == request.node_incarnation
+        )
+        if same_attempt:
+            # The first answer may have been lost on its way.
+            return _reply(_HELD)
+        reply = _reply(_IN_PROGRESS)
+        reply.retry_after_ms = min(max(1, claim.lapses_ms - now), _ASK_AGAIN)
+        return reply
+
+    def _settle(
+        self,
+        key: ClaimKey,
+        claim: commands_pb2.ClaimImage,
+        request: control_pb2.SettleRequest,
+        now: int,
+    ) -> None:
+        self._release(key, claim)
+        self._bytes -= claim.ByteSize()
+        claim.state = request.state
+        claim.forget_ms = max(now, claim.lapses_ms) + claim.retention_ms
+        if request.state == _COMPLETED:
+            claim.stored.CopyFrom(_bounded(request.stored))
+        if request.state == _NOT_RUN:
+            _end_attempt(claim, request.attempt_id)
+        self._bytes += claim.ByteSize()
+        heapq.heappush(self._forget_queue, (claim.forget_ms, key))
+
+    def _lapse(
+        self, key: ClaimKey, claim: commands_pb2.ClaimImage, now: int
+    ) -> None:
+        if claim.state == _HELD and now > claim.lapses_ms:
+            self._release(key, claim)
+            claim.state = _OUTCOME_UNKNOWN
+
+    def _hold(self, key: ClaimKey, claim: commands_pb2.ClaimImage) -> None:
+        self._held_by_owner.setdefault(_owner_of(claim), set()).add(key)
+
+    def _release(self, key: ClaimKey, claim: commands_pb2.ClaimImage) -> None:
+        owner = _owner_of(claim)
+        keys = self._held_by_owner.get(owner)
+        if keys is None:
+            return
+        keys.discard(key)
+        if not keys:
+            self._held_by_owner.pop(owner)
+
+
+def _key_of(
+    source: (
+        control_pb2.ClaimRequest
+        | control_pb2.SettleRequest
+        | commands_pb2.ClaimImage
+    ),
+) -> ClaimKey:
+    return ClaimKey(source.account, source.service, source.idempotency_key)
+
+
+def _owner_of(claim: commands_pb2.ClaimImage) -> Owner:
+    return Owner(claim.node_id, claim.node_incarnation)
+
+
+def _retention_of(request: control_pb2.ClaimRequest) -> int:
+    asked = request.retention_s * _MS_PER_SECOND
+    return min(max(asked, _LEAST_RETENTION), _LONGEST_RETENTION)
+
+
+def _ended(
+    claim: commands_pb2.ClaimImage, attempt_id: str
+) -> control_pb2.ClaimState | None:
+    for end in claim.ended_attempts:
+        if end.attempt_id == attempt_id:
+            return end.state
+    return None
+
+
+def _end_attempt(claim: commands_pb2.ClaimImage, attempt_id: str) -> None:
+    ended = list(claim.ended_attempts)
+    ended.append(commands_pb2.AttemptEnd(attempt_id=attempt_id, state=_NOT_RUN))
+    claim.ClearField('ended_attempts')
+    # A sender that gave up so many attempts ago is not heard again.
+    claim.ended_attempts.extend(ended[-MOST_ENDED_ATTEMPTS:])
+
+
+def _bounded(stored: control_pb2.StoredAnswer) -> control_pb2.StoredAnswer:
+    if len(stored.body) <= MOST_ANSWER_BYTES:
+        return stored
+    return control_pb2.StoredAnswer(
+        status=stored.status,
+        content_type=stored.content_type,
+        body_omitted=True,
+    )
+
+
+def _reply(
+    state: control_pb2.ClaimState,
+    stored: control_pb2.StoredAnswer | None = None,
+) -> control_pb2.ClaimReply:
+    return control_pb2.ClaimReply(
+        answer=control_pb2.Answer(code=control_pb2.OK),
+        state=state,
+        stored=stored if state == _COMPLETED else None,
+    )
+
+
+def _refused(message: str) -> control_pb2.ClaimReply:
+    return control_pb2.ClaimReply(
+        answer=control_pb2.Answer(code=control_pb2.INVALID, message=message)
+    )
+
+
+def _full() -> control_pb2.ClaimReply:
+    return control_pb2.ClaimReply(
+        answer=control_pb2.Answer(
+            code=control_pb2.NO_QUORUM,
+            message='the claim table is full; lower claim_retention',
+            retry_after_ms=_ASK_AGAIN,
+        )
+    )
+
+
+def _settled(code: control_pb2.Code, message: str) -> control_pb2.SettleReply:
+    return control_pb2.SettleReply(
+        answer=control_pb2.Answer(code=code, message=message)
+    )
+
+
+def _settled_again(
+    stands: control_pb2.ClaimState, asked: control_pb2.ClaimState
+) -> control_pb2.SettleReply:
+    if stands == asked:
+        return _settled(control_pb2.OK, '')
+    return _settled(
+        control_pb2.CONFLICT, 'the attempt was settled with another outcome'
+    )
--- a/verbenathread/schema/control_grpc.py
+++ b/verbenathread/schema/control_grpc.py
@@ -54,6 +54,10 @@
     async def ChangeMember(self, stream: 'grpclib.server.Stream[verbenathread.schema.control_pb2.MemberRequest, verbenathread.schema.control_pb2.MemberReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ReportNodes(self, stream: 'grpclib.server.Stream[verbenathread.schema.control_pb2.NodesReport, verbenathread.schema.control_pb2.NodesReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/verbenathread.schema.Control/Change': grpclib.const.Handler(
@@ -116,6 +120,12 @@
                 verbenathread.schema.control_pb2.MemberRequest,
                 verbenathread.schema.control_pb2.MemberReply,
             ),
+            '/verbenathread.schema.Control/ReportNodes': grpclib.const.Handler(
+                self.ReportNodes,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                verbenathread.schema.control_pb2.NodesReport,
+                verbenathread.schema.control_pb2.NodesReply,
+            ),
         }
 
 
@@ -182,3 +192,9 @@
             verbenathread.schema.control_pb2.MemberRequest,
             verbenathread.schema.control_pb2.MemberReply,
         )
+        self.ReportNodes = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/verbenathread.schema.Control/ReportNodes',
+            verbenathread.schema.control_pb2.NodesReport,
+            verbenathread.schema.control_pb2.NodesReply,
+        )
