--- a/verbenathread/commands.py
+++ b/verbenathread/commands.py
@@ -10,6 +10,7 @@
 
 from verbenathread import __version__
 from verbenathread.command import Command, Rendered, argument
+from verbenathread.daemons import run_control, run_entry
 from verbenathread.exceptions import SettingsError
 from verbenathread.settings.node import check_node_text, load_node_settings
 from verbenathread.settings.rules import Problem, options_of
@@ -86,6 +87,22 @@
 
 
 CORE_COMMANDS = (
+    Command(
+        'entry',
+        'Run an entry: take requests and relay them to upstreams.',
+        (_SETTINGS_ARGUMENT,),
+        'verbenathread entry --settings examples/tillery/entry-1.ini',
+        run_entry,
+        prints=False,
+    ),
+    Command(
+        'control',
+        'Run a control process: keep settings, claims, orders and the audit.',
+        (_SETTINGS_ARGUMENT,),
+        'verbenathread control --settings examples/tillery/control-1.ini',
+        run_control,
+        prints=False,
+    ),
     Command(
         'check',
         'Check settings files: what is wrong, and what to write instead.',
--- /dev/null
+++ b/verbenathread/daemons.py
@@ -0,0 +1,60 @@
+"""Run a role of the program until it is told to stop."""
+
+import argparse
+import asyncio
+import signal
+
+from verbenathread.command import Rendered
+from verbenathread.exceptions import SettingsError
+from verbenathread.observability import logs
+from verbenathread.schema import settings_pb2
+from verbenathread.settings.node import load_node_settings
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def run_entry(options: argparse.Namespace) -> Rendered:
+    """Run an entry until SIGTERM or SIGINT, then stop as planned."""
+    # Only this role needs the HTTP libraries.
+    from verbenathread.entry.daemon import EntryDaemon  # type: ignore[import-not-found]
+
+    settings = _settings_for('entry', options.settings)
+    # Blocked before any thread starts, so that only sigwait takes them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    daemon = EntryDaemon(settings)
+    daemon.start()
+    signal.sigwait(_STOP_SIGNALS)
+    daemon.stop()
+    return Rendered('', None)
+
+
+def run_control(options: argparse.Namespace) -> Rendered:
+    """Run a control process until SIGTERM or SIGINT, then stop as planned."""
+    settings = _settings_for('control', options.settings)
+    asyncio.run(_serve_control(settings))
+    return Rendered('', None)
+
+
+async def _serve_control(settings: settings_pb2.NodeSettings) -> None:
+    # Only this role needs the replicated log.
+    from verbenathread.control.daemon import ControlDaemon  # type: ignore[import-not-found]
+
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, stopping.set)
+    daemon = ControlDaemon(settings)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
+
+
+def _settings_for(role: str, path: str) -> settings_pb2.NodeSettings:
+    settings = load_node_settings(path)
+    if not settings.HasField(role):
+        raise SettingsError(
+            f'{path}: there is no [{role}] section; add one or run the other'
+            ' role'
+        )
+    logs.configure(settings.log.level, settings.log.format)
+    return settings
