--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,139 @@
+"""Start processes of the program and of stand-ins, and end them by id."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+_CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_POLL_SECONDS = 0.05
+_MS_PER_SECOND = 1000
+_LOOPBACK = 'lo:'
+# Fields of /proc/PID/stat after the name in brackets.
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+# Fields of a line of /proc/net/dev.
+_SENT_BYTES = 9
+
+
+class Started(NamedTuple):
+    """One process that this run started."""
+
+    name: str
+    process: 'subprocess.Popen[bytes]'
+    log: Path
+
+    def cpu_ms(self) -> float:
+        """Return the processor time that the process has used, in ms."""
+        stat = Path(f'/proc/{self.process.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+        return ticks * _MS_PER_SECOND / _CLOCK_TICKS
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the process in bytes."""
+        statm = Path(f'/proc/{self.process.pid}/statm').read_text()
+        return int(statm.split()[1]) * _PAGE_BYTES
+
+    def children(self) -> int:
+        """Return how many processes this one has started and not ended."""
+        tasks = Path(f'/proc/{self.process.pid}/task').iterdir()
+        return sum(
+            len((task / 'children').read_text().split()) for task in tasks
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self, limit: float) -> int | None:
+        """Return the exit code, or None after ``limit`` seconds."""
+        try:
+            return self.process.wait(limit)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+class Processes:
+    """The processes of one run; all have ended when it closes."""
+
+    def __init__(self, folder: Path) -> None:
+        """Keep logs and data below ``folder``."""
+        self.folder = folder
+        self.by_name: dict[str, Started] = {}
+
+    def start(self, name: str, *words: str) -> Started:
+        """Start ``python -m WORDS`` in the folder of the run."""
+        log = self.folder / f'{name}.log'
+        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        with log.open('ab') as output:
+            process = subprocess.Popen(
+                [sys.executable, '-m', *words],
+                cwd=self.folder,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        started = Started(name, process, log)
+        self.by_name[name] = started
+        return started
+
+    def stop_all(self, limit: float) -> dict[str, int | None]:
+        """Send SIGTERM to all and return each exit code, None if killed."""
+        for started in self.by_name.values():
+            started.send(signal.SIGTERM)
+        code_by_name = {}
+        for name, started in self.by_name.items():
+            code_by_name[name] = started.wait(limit)
+        self.kill_all()
+        return code_by_name
+
+    def kill_all(self) -> None:
+        """End whatever still runs."""
+        for started in self.by_name.values():
+            # A stopped process takes SIGKILL too.
+            started.send(signal.SIGKILL)
+            started.process.wait()
+
+
+@contextlib.contextmanager
+def running(folder: Path) -> Iterator[Processes]:
+    """Yield the processes of one run and end them all afterwards."""
+    processes = Processes(folder)
+    try:
+        yield processes
+    finally:
+        processes.kill_all()
+
+
+def wait_for(what: str, probe: Callable[[], Any], limit: float) -> Any:
+    """Return the first true answer of ``probe``.
+
+    Raises :class:`TimeoutError` after ``limit`` seconds.
+    """
+    end = time.monotonic() + limit
+    while True:
+        found = probe()
+        if found:
+            return found
+        if time.monotonic() > end:
+            raise TimeoutError(f'no {what} within {limit} s')
+        time.sleep(_POLL_SECONDS)
+
+
+def loopback_bytes() -> int:
+    """Return the bytes that the machine has sent over loopback."""
+    for line in Path('/proc/net/dev').read_text().splitlines():
+        fields = line.split()
+        if fields[0] == _LOOPBACK:
+            return int(fields[_SENT_BYTES])
+    raise RuntimeError('there is no loopback device; mount /proc')
