--- /dev/null
+++ b/verbenathread/scheduling/queueing.py
@@ -0,0 +1,103 @@
+"""The queue of one engine: classes, ageing and fair shares."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from verbenathread.scheduling.classes import length_class
+from verbenathread.scheduling.estimates import PrefillCost
+from verbenathread.scheduling.messages import Ask
+from verbenathread.scheduling.tuning import Tuning
+from verbenathread.schema import settings_pb2
+from verbenathread.types import LengthClass, Millis
+
+
+class Waiting(NamedTuple):
+    """One ask in the queue."""
+
+    ask: Ask
+    length: LengthClass
+    # Expected prefill in ms.
+    prefill: float
+    since: Millis
+    # Virtual finish of the account's share; smaller goes first.
+    finish: float = 0
+
+
+def make_waiting(
+    ask: Ask,
+    cost: PrefillCost,
+    policy: settings_pb2.PolicySettings,
+    now: Millis,
+) -> Waiting:
+    """Return the queue's view of an ask that arrives now."""
+    prefill = cost.prefill(ask.work.prompt_tokens)
+    if ask.group:
+        prefill /= len(ask.group)
+    length = length_class(ask.work.prompt_tokens, policy)
+    return Waiting(ask, length, prefill, now)
+
+
+class WaitQueue:
+    """Asks in the order in which memory goes to them.
+
+    Between accounts the order is self-clocked fair queueing by weight
+    (Golestani 1994); between classes shorter goes first, and waiting makes
+    any request more urgent.
+    """
+
+    def __init__(self, tuning: Tuning) -> None:
+        """Start empty."""
+        self._tuning = tuning
+        self._by_attempt: dict[str, Waiting] = {}
+        self._finish_by_account: dict[str, float] = {}
+        self._virtual: float = 0
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._by_attempt)
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Go over all that wait, in the order of their arrival."""
+        return iter(self._by_attempt.values())
+
+    def get(self, attempt_id: str) -> Waiting | None:
+        """Return one that waits, or None."""
+        return self._by_attempt.get(attempt_id)
+
+    def add(self, waiting: Waiting) -> None:
+        """Put an ask at its place."""
+        finish: float = 0
+        if self._tuning.fair_shares:
+            account = waiting.ask.work.account
+            start = max(self._virtual, self._finish_by_account.get(account, 0))
+            finish = start + waiting.prefill / waiting.ask.weight
+            self._finish_by_account[account] = finish
+        placed = waiting._replace(finish=finish)
+        self._by_attempt[waiting.ask.attempt_id] = placed
+
+    def remove(self, attempt_id: str) -> Waiting | None:
+        """Take one out, if it waits."""
+        waiting = self._by_attempt.pop(attempt_id, None)
+        if not self._by_attempt:
+            # Nobody competes, so no account owes anything.
+            self._finish_by_account.clear()
+            self._virtual = 0
+        elif waiting is not None:
+            self._virtual = max(self._virtual, waiting.finish)
+        return waiting
+
+    def ordered(self, now: Millis) -> list[Waiting]:
+        """Return all that wait, the most urgent first."""
+        return sorted(
+            self._by_attempt.values(),
+            key=lambda waiting: self.rank(waiting, now),
+        )
+
+    def rank(
+        self, waiting: Waiting, now: Millis
+    ) -> tuple[float, float, Millis, str]:
+        """Return the sort key of one ask."""
+        urgency = float(waiting.length)
+        if self._tuning.ageing:
+            urgency -= (now - waiting.since) // self._tuning.ageing
+        return urgency, waiting.finish, waiting.since, waiting.ask.attempt_id
--- /dev/null
+++ b/verbenathread/scheduling/router.py
@@ -0,0 +1,163 @@
+"""Choice of engines by one entry, from late load reports and own sends."""
+
+import random
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from verbenathread.scheduling.classes import length_class
+from verbenathread.scheduling.messages import EngineReport
+from verbenathread.scheduling.tuning import CURRENT, Tuning
+from verbenathread.schema import settings_pb2
+from verbenathread.types import (
+    LengthClass,
+    Millis,
+    UpstreamId,
+    UpstreamRecord,
+    Work,
+)
+
+# A report tells of the engine as it was this long ago.
+REPORT_LAG: Millis = 1000
+_US_PER_MS = 1000
+_FIRST_PREFILL_US = 50000
+_TOKENS_PER_SAMPLE = 1000
+# Expected wait for memory where the report shows too little.
+_MEMORY_WAIT: Millis = 2000
+# What one running request adds to the time of a step at the engine.
+_RUNNING_MS = 0.2
+
+
+class _Sent(NamedTuple):
+    """One send of this entry that no report shows yet."""
+
+    request_id: str
+    at: Millis
+    length: LengthClass
+    prefill: float
+    memory_tokens: int
+
+
+class _Seen(NamedTuple):
+    """What this entry knows of one engine."""
+
+    report: EngineReport | None
+    noted_at: Millis
+    sent: tuple[_Sent, ...]
+
+
+_UNSEEN = _Seen(None, 0, ())
+
+
+class Router:
+    """Orders a few sampled engines by the wait that a prompt should expect.
+
+    A sample of some engines (the power of two choices, Mitzenmacher 2001)
+    keeps entries with equal, late reports from all choosing the same one.
+    """
+
+    def __init__(
+        self,
+        policy: settings_pb2.PolicySettings,
+        rng: random.Random,
+        tuning: Tuning = CURRENT,
+    ) -> None:
+        """Know nothing of any engine; ``rng`` decides the samples."""
+        self.policy = policy
+        self.looked_at = 0
+        self._rng = rng
+        self._tuning = tuning
+        self._seen_by_id: dict[UpstreamId, _Seen] = {}
+
+    def choose(
+        self,
+        work: Work,
+        records: Sequence[UpstreamRecord],
+        now: Millis,
+        failed: Collection[UpstreamId] = (),
+    ) -> list[UpstreamId]:
+        """Return sampled engines, the one with the least wait first.
+
+        ``records`` are the engines of the service in one order on every
+        entry; those in ``failed`` are passed over.
+        """
+        sample = self._sample(records, failed)
+        scored = [
+            (self._expected(work, record, now), record.upstream_id)
+            for record in sample
+        ]
+        return [upstream_id for _, upstream_id in sorted(scored)]
+
+    def note_report(self, report: EngineReport, now: Millis) -> None:
+        """Take a load report; an older one than the last is ignored."""
+        seen = self._seen_by_id.get(report.upstream_id, _UNSEEN)
+        fresh = tuple(sent for sent in seen.sent if sent.at > now - REPORT_LAG)
+        self._seen_by_id[report.upstream_id] = _Seen(report, now, fresh)
+
+    def note_sent(
+        self, upstream_id: UpstreamId, work: Work, now: Millis
+    ) -> None:
+        """Count a send that no report shows yet."""
+        seen = self._seen_by_id.get(upstream_id, _UNSEEN)
+        sent = _Sent(
+            work.request_id,
+            now,
+            length_class(work.prompt_tokens, self.policy),
+            self._prefill(seen, work.prompt_tokens),
+            work.prompt_tokens + work.most_output_tokens,
+        )
+        self._seen_by_id[upstream_id] = seen._replace(sent=(*seen.sent, sent))
+
+    def note_done(self, upstream_id: UpstreamId, work: Work) -> None:
+        """Stop counting a send that has ended or never went out."""
+        seen = self._seen_by_id.get(upstream_id, _UNSEEN)
+        rest = tuple(
+            sent for sent in seen.sent if sent.request_id != work.request_id
+        )
+        self._seen_by_id[upstream_id] = seen._replace(sent=rest)
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Drop what is known of an engine that is gone."""
+        self._seen_by_id.pop(upstream_id, None)
+
+    def _sample(
+        self,
+        records: Sequence[UpstreamRecord],
+        failed: Collection[UpstreamId],
+    ) -> list[UpstreamRecord]:
+        count = min(len(records), self.policy.candidates + len(failed))
+        drawn = self._rng.sample(range(len(records)), count)
+        self.looked_at += count
+        return [
+            records[position]
+            for position in drawn
+            if records[position].upstream_id not in failed
+        ]
+
+    def _expected(
+        self, work: Work, record: UpstreamRecord, now: Millis
+    ) -> float:
+        """Return expected ms before the first token."""
+        seen = self._seen_by_id.get(record.upstream_id, _UNSEEN)
+        length = length_class(work.prompt_tokens, self.policy)
+        prefill = self._prefill(seen, work.prompt_tokens)
+        free = record.memory_tokens
+        wait: float = 0
+        if seen.report is not None:
+            free = seen.report.free_tokens
+            backlog = sum(seen.report.backlog_by_class[: length + 1])
+            wait += max(0, backlog - (now - seen.noted_at))
+            wait += seen.report.running * _RUNNING_MS
+        for sent in seen.sent:
+            free -= sent.memory_tokens
+            if sent.length <= length:
+                wait += max(0, sent.prefill - (now - sent.at))
+        needed = work.prompt_tokens + work.most_output_tokens
+        if needed > free:
+            wait += _MEMORY_WAIT * (needed - free) / needed
+        return wait + prefill
+
+    def _prefill(self, seen: _Seen, tokens: int) -> float:
+        sample_us = _FIRST_PREFILL_US
+        if seen.report is not None:
+            sample_us = seen.report.prefill_us
+        return tokens * sample_us / _TOKENS_PER_SAMPLE / _US_PER_MS
--- /dev/null
+++ b/verbenathread/scheduling/tuning.py
@@ -0,0 +1,38 @@
+"""Which mechanisms of the policy are on, so that each can be measured."""
+
+from typing import NamedTuple
+
+from verbenathread.types import Millis
+
+
+class Tuning(NamedTuple):
+    """Switches and constants of the scheduling policy.
+
+    Operators set :class:`PolicySettings`; these stay in the code, and the
+    replay turns them one at a time to measure what each is worth.
+    """
+
+    # Prefill in progress at the engine per length class; more waits in the
+    # ledger, where its order can still change. 0 lets all through.
+    prefill_window: Millis = 0
+    # Long prompts that one engine prefills at a time; 0 is no limit.
+    long_prefills: int = 0
+    # Waiting that makes a request one class more urgent; 0 is no ageing.
+    ageing: Millis = 0
+    # Order between accounts by weighted fair shares.
+    fair_shares: bool = False
+    # Keep long prompts on their own share of the engines.
+    long_apart: bool = False
+    # Engine priority follows the length class.
+    priorities: bool = True
+    # Refuse on arrival what can't finish in time.
+    refuse_late: bool = True
+    # Weigh cached prefixes when an engine is chosen.
+    affinity: bool = False
+    # Ask the next engine when the first one's wait is over this; 0 is never.
+    second_ask: Millis = 0
+
+
+# The first policy that ran; replays keep it as a baseline.
+PREVIOUS = Tuning()
+CURRENT = PREVIOUS
