--- /dev/null
+++ b/verbenathread/scheduling/admission.py
@@ -0,0 +1,100 @@
+"""Admission at one entry: the first answer that a request gets."""
+
+from collections.abc import Sequence
+
+from verbenathread.scheduling.classes import length_class
+from verbenathread.scheduling.groups import group_size
+from verbenathread.scheduling.limits import AccountLimiter
+from verbenathread.schema import settings_pb2
+from verbenathread.types import (
+    LengthClass,
+    Millis,
+    Refusal,
+    RefusalReason,
+    UpstreamRecord,
+    Work,
+)
+
+_NO_UPSTREAM_RETRY: Millis = 1000
+_EXPIRED_RETRY: Millis = 1
+
+
+def memory_needed(work: Work) -> int:
+    """Return the memory that a request may come to hold, in tokens."""
+    return work.prompt_tokens + work.most_output_tokens
+
+
+class Admission:
+    """Refuses at once what can't be served, whatever the load."""
+
+    def __init__(self, limiter: AccountLimiter) -> None:
+        """Count admissions against the limits of each account."""
+        self.limiter = limiter
+
+    def admit(
+        self,
+        work: Work,
+        limits: settings_pb2.AccountSettings,
+        policy: settings_pb2.PolicySettings,
+        records: Sequence[UpstreamRecord],
+        now: Millis,
+    ) -> Refusal | None:
+        """Return None when the request may go on to an engine."""
+        refusal = self._impossible(work, policy, records, now)
+        if refusal is not None:
+            return refusal
+        return self.limiter.admit(
+            work.account,
+            limits,
+            memory_needed(work),
+            now,
+            is_long=_is_long(work, policy),
+        )
+
+    def done(
+        self,
+        work: Work,
+        policy: settings_pb2.PolicySettings,
+        output_tokens: int,
+        now: Millis,
+    ) -> None:
+        """Note the end of an admitted request, however it ended."""
+        self.limiter.done(
+            work.account,
+            max(0, work.most_output_tokens - output_tokens),
+            now,
+            is_long=_is_long(work, policy),
+        )
+
+    def _impossible(
+        self,
+        work: Work,
+        policy: settings_pb2.PolicySettings,
+        records: Sequence[UpstreamRecord],
+        now: Millis,
+    ) -> Refusal | None:
+        if not records:
+            return Refusal(
+                RefusalReason.NO_UPSTREAM,
+                'No engine serves this model now; retry later.',
+                _NO_UPSTREAM_RETRY,
+            )
+        if work.deadline <= now:
+            return Refusal(
+                RefusalReason.DEADLINE,
+                'The time limit has passed; allow more time.',
+                _EXPIRED_RETRY,
+            )
+        engine_tokens = records[0].memory_tokens
+        size = group_size(memory_needed(work), engine_tokens, policy)
+        if size < 1 or size > len(records):
+            return Refusal(
+                RefusalReason.TOO_LONG,
+                'The prompt is longer than all engines together; split it.',
+                0,
+            )
+        return None
+
+
+def _is_long(work: Work, policy: settings_pb2.PolicySettings) -> bool:
+    return length_class(work.prompt_tokens, policy) == LengthClass.LONG
