--- /dev/null
+++ b/verbenathread/replay/trace.py
@@ -0,0 +1,76 @@
+"""Traces of requests: JSON lines without any prompt text."""
+
+import gzip
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import IO, NamedTuple
+
+from verbenathread.exceptions import UsageError
+from verbenathread.types import Millis
+
+_PACKED = '.gz'
+
+
+class TraceRequest(NamedTuple):
+    """One request as it reached an entry."""
+
+    arrival: Millis
+    account: str
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    most_output_tokens: int
+    time_limit: Millis
+    # Position of the entry among the entries of the deployment.
+    entry: int
+    prefix_hashes: tuple[int, ...] = ()
+
+
+def write_trace(path: Path, requests: Iterable[TraceRequest]) -> None:
+    """Write one JSON object a line; packed if the name ends in .gz."""
+    with _opened(path, 'wt') as page:
+        for request in requests:
+            page.write(json.dumps(request._asdict()))
+            page.write('\n')
+
+
+def read_trace(path: Path) -> list[TraceRequest]:
+    """Read a trace in the order of arrival.
+
+    Raises :class:`UsageError` that names the line that is wrong.
+    """
+    if not path.exists():
+        raise UsageError(f'No trace at {path}; give the path of a trace.')
+    with _opened(path, 'rt') as page:
+        requests = list(_parsed(path, page))
+    return sorted(requests, key=lambda request: request.arrival)
+
+
+def _opened(path: Path, mode: str) -> IO[str]:
+    if path.suffix == _PACKED:
+        return gzip.open(path, mode, encoding='utf-8')  # type: ignore[return-value]
+    return path.open(mode, encoding='utf-8')
+
+
+def _parsed(path: Path, lines: Iterable[str]) -> Iterator[TraceRequest]:
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        try:
+            yield _request(json.loads(line))
+        except (TypeError, ValueError, KeyError) as error:
+            raise UsageError(
+                f'{path} line {number} is not a request ({error}); '
+                'write one JSON object a line as docs/design/replay.md says.'
+            ) from error
+
+
+def _request(fields: dict[str, object]) -> TraceRequest:
+    hashes = fields.pop('prefix_hashes', ())
+    request = TraceRequest(**fields)  # type: ignore[arg-type]
+    if request.arrival < 0 or request.prompt_tokens < 1:
+        raise ValueError('a time or a length is below its least')
+    return request._replace(
+        prefix_hashes=tuple(hashes)  # type: ignore[arg-type]
+    )
--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -65,6 +65,7 @@
         self._prefill: list[float] = [0 for _ in LengthClass]
         self._count = [0 for _ in LengthClass]
         self._short_only = False
+        self._shut = False
         for hold in holds:
             if hold.first_token_at is not None:
                 continue
@@ -73,6 +74,8 @@
 
     def is_open(self, length: LengthClass) -> bool:
         """Tell whether a prompt of this class may go to the engine."""
+        if self._shut:
+            return False
         if length == LengthClass.SHORT:
             return self._in_window(length)
         if self._short_only:
@@ -90,6 +93,7 @@
     def close_for_longer(self) -> None:
         """Let only short ones pass one that waits for memory."""
         self._short_only = True
+        self._shut = not self._tuning.by_class
 
     def _in_window(self, length: LengthClass) -> bool:
         window = self._tuning.prefill_window
--- a/verbenathread/scheduling/prefixes.py
+++ b/verbenathread/scheduling/prefixes.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from typing import NamedTuple
 
 from verbenathread.types import UpstreamId
@@ -77,17 +77,17 @@
         return covered_tokens(prefix_hashes, known.hashes)
 
 
-def covered_tokens(prefix_hashes: Sequence[int], cached: frozenset[int]) -> int:
+def covered_tokens(prefix_hashes: Sequence[int], cached: Container[int]) -> int:
     """Return the tokens under the longest prefix that is cached."""
     for position in reversed(range(len(prefix_hashes))):
         if prefix_hashes[position] in cached:
-            return BLOCK_TOKENS * 2**position
+            return BLOCK_TOKENS << position
     return 0
 
 
 def hash_prefixes(prompt: bytes, bytes_per_token: float) -> tuple[int, ...]:
     """Return the hashes of the leading blocks of a prompt."""
-    hashes = []
+    hashes: list[int] = []
     size = int(BLOCK_TOKENS * bytes_per_token)
     hasher = hashlib.blake2b(digest_size=_HASH_BYTES)
     done = 0
--- a/verbenathread/scheduling/queueing.py
+++ b/verbenathread/scheduling/queueing.py
@@ -97,7 +97,7 @@
         self, waiting: Waiting, now: Millis
     ) -> tuple[float, float, Millis, str]:
         """Return the sort key of one ask."""
-        urgency = float(waiting.length)
+        urgency = float(waiting.length) if self._tuning.by_class else 0
         if self._tuning.ageing:
             urgency -= (now - waiting.since) // self._tuning.ageing
         return urgency, waiting.finish, waiting.since, waiting.ask.attempt_id
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -12,6 +12,8 @@
     replay turns them one at a time to measure what each is worth.
     """
 
+    # Shorter classes go first; without it the queue is first in, first out.
+    by_class: bool = True
     # Prefill in progress at the engine per length class; more waits in the
     # ledger, where its order can still change. 0 lets all through.
     prefill_window: Millis = 0
