Replay traces over the decision parts in virtual time

Cause: the policy needs a measurement beside baselines before it changes. Ruled out: a cluster simulator; the engine fake is fluid and a page long.

--- /dev/null
+++ b/verbenathread/replay/deployment.py
@@ -0,0 +1,94 @@
+"""The sizes of a deployment, and the faults that come over it."""
+
+from types import MappingProxyType
+from typing import NamedTuple
+
+from verbenathread.replay.engine import EngineRates
+from verbenathread.types import (
+    Address,
+    Millis,
+    NodeId,
+    UpstreamKind,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+
+class Deployment(NamedTuple):
+    """Engines, entries and one-way latencies in ms."""
+
+    name: str
+    service: str
+    engines: int
+    entries: int
+    data_centres: tuple[str, ...]
+    between_centres: float
+    within_centre: float
+    to_clients: float
+    rates: EngineRates = EngineRates()
+
+
+_TILLERY_ENGINES = 20
+_FBIS_ENGINES = 15
+_WITHIN_CENTRE_MS = 0.2
+
+TILLERY = Deployment(
+    name='tillery-night',
+    service='draft-desk',
+    engines=_TILLERY_ENGINES,
+    entries=9,
+    data_centres=('jackson-ms', 'mobile-al', 'shreveport-la'),
+    between_centres=0.5,
+    within_centre=_WITHIN_CENTRE_MS,
+    to_clients=3,
+)
+FBIS = Deployment(
+    name='fbis-day',
+    service='triage-model',
+    engines=_FBIS_ENGINES,
+    entries=9,
+    data_centres=('be-central-a', 'be-central-b', 'be-central-c'),
+    between_centres=1,
+    within_centre=_WITHIN_CENTRE_MS,
+    to_clients=1,
+)
+DEPLOYMENT_BY_NAME = MappingProxyType(
+    {deployment.name: deployment for deployment in (TILLERY, FBIS)}
+)
+
+
+class Faults(NamedTuple):
+    """What fails in a replay; moments in ms since its start."""
+
+    # Position of the engine or entry, and when it dies.
+    engine_deaths: tuple[tuple[int, Millis], ...] = ()
+    entry_deaths: tuple[tuple[int, Millis], ...] = ()
+    # From and to: no load report arrives.
+    reports_missing: tuple[Millis, Millis] = (0, 0)
+
+
+NO_FAULTS = Faults()
+
+
+def entry_name(position: int) -> NodeId:
+    """Return the identifier of the entry at a position."""
+    return f'n{position:03d}'
+
+
+def engine_records(deployment: Deployment) -> tuple[UpstreamRecord, ...]:
+    """Return the engines as entries know them, in order."""
+    centres = deployment.data_centres
+    return tuple(
+        UpstreamRecord(
+            upstream_id=f'e{position:04d}',
+            incarnation=1,
+            state=UpstreamState.READY,
+            version=1,
+            service=deployment.service,
+            kind=UpstreamKind.ENGINE,
+            address=Address('127.0.0.1', 0),
+            data_centre=centres[position % len(centres)],
+            memory_tokens=deployment.rates.memory_tokens,
+        )
+        for position in range(deployment.engines)
+    )
--- /dev/null
+++ b/verbenathread/replay/entry.py
@@ -0,0 +1,354 @@
+"""One entry of a replay: the real decision parts, driven in virtual time."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from verbenathread.replay.engine import Job
+from verbenathread.replay.owner import Answer
+from verbenathread.replay.pending import (
+    EntryPlace,
+    Grants,
+    Pending,
+    begin,
+    new_work,
+    progress,
+    renewal,
+)
+from verbenathread.replay.policies import EngineChooser
+from verbenathread.replay.results import Ending, RequestResult
+from verbenathread.replay.trace import TraceRequest
+from verbenathread.scheduling.admission import Admission, memory_needed
+from verbenathread.scheduling.estimates import OutputEstimator
+from verbenathread.scheduling.groups import GroupClaim, group_size
+from verbenathread.scheduling.messages import Ask, Queued
+from verbenathread.scheduling.outliers import OutlierTracker
+from verbenathread.scheduling.retries import Retry, RetryPolicy
+from verbenathread.schema import settings_pb2
+from verbenathread.types import (
+    Millis,
+    NodeId,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Reservation,
+    UpstreamId,
+)
+
+_RENEW_EVERY: Millis = 2000
+# Sets of engines tried for one group.
+_GROUP_TRIES = 3
+
+
+class EntryParts(NamedTuple):
+    """The decision parts of one entry."""
+
+    chooser: EngineChooser
+    admission: Admission
+    retries: RetryPolicy
+    outliers: OutlierTracker
+    outputs: OutputEstimator
+    policy: settings_pb2.PolicySettings
+    limits_by_account: dict[str, settings_pb2.AccountSettings]
+
+
+class Entry:
+    """Takes requests, places attempts, and retries them."""
+
+    def __init__(
+        self, entry_id: NodeId, parts: EntryParts, place: EntryPlace
+    ) -> None:
+        """Start with nothing in progress."""
+        self.entry_id = entry_id
+        self.alive = True
+        self.parts = parts
+        self._place = place
+        self._grants = Grants(entry_id, place, parts.chooser)
+        self._pending_by_request: dict[str, Pending] = {}
+
+    def arrive(self, number: int, request: TraceRequest) -> None:
+        """Take one request from a caller."""
+        now = self._place.now()
+        work = new_work(number, request, self.parts.outputs, now)
+        pending = Pending(number, request, work)
+        refusal = self.parts.admission.admit(
+            work,
+            self.parts.limits_by_account[work.account],
+            self.parts.policy,
+            self._place.records(),
+            now,
+        )
+        if refusal is not None:
+            self._note(pending, Ending.REFUSED, refusal.reason)
+            return
+        self._pending_by_request[work.request_id] = pending
+        self.parts.retries.note_first()
+        limit = request.time_limit
+        self._place.later(limit, lambda: self._time_out(pending))
+        self._attempt(pending)
+
+    def answered(
+        self, upstream_id: UpstreamId, attempt_id: str, answer: Answer
+    ) -> None:
+        """Take the answer of an engine's owner."""
+        pending = self._current(attempt_id)
+        if pending is None or pending.waits_at != upstream_id:
+            if isinstance(answer, Reservation):
+                self._grants.give_back(upstream_id, attempt_id)
+            return
+        if isinstance(answer, Queued):
+            pending.is_admitted = True
+            return
+        pending.waits_at = None
+        if isinstance(answer, Refusal):
+            self._turned_away(pending, upstream_id, answer)
+            return
+        pending.is_admitted = True
+        pending.held = (*pending.held, answer)
+        if pending.claim is None:
+            self._start(pending)
+            return
+        pending.claim.granted(answer)
+        self._ask_member(pending, pending.claim)
+
+    def owner_lost(self, upstream_ids: Sequence[UpstreamId]) -> None:
+        """Ask elsewhere for what waits at an owner that is gone."""
+        gone = Refusal(RefusalReason.NO_UPSTREAM, 'The owner is gone.', 1000)
+        for pending in tuple(self._pending_by_request.values()):
+            waits_at = pending.waits_at
+            if waits_at is not None and waits_at in upstream_ids:
+                self.answered(waits_at, pending.attempt_id, gone)
+
+    def prefilled(self, attempt_id: str) -> None:
+        """Take the first token of an attempt."""
+        pending = self._current(attempt_id)
+        if pending is None:
+            return
+        if pending.first_token_at is None:
+            pending.first_token_at = self._place.now()
+        for held in pending.held:
+            self._grants.tell(held, progress(held))
+
+    def finished(self, attempt_id: str) -> None:
+        """Take the last token of an attempt."""
+        pending = self._current(attempt_id)
+        if pending is None:
+            return
+        for upstream_id in pending.upstream_ids():
+            self.parts.outliers.note_success(upstream_id)
+        output = pending.request.output_tokens
+        self._grants.release(pending, output - pending.output_tokens)
+        self.parts.outputs.note(
+            pending.work.account, pending.work.service, output
+        )
+        self._end(pending, Ending.COMPLETED)
+
+    def broken(self, attempt_id: str) -> None:
+        """Take the loss of an engine; go on from the last token."""
+        pending = self._current(attempt_id)
+        if pending is None:
+            return
+        now = self._place.now()
+        for upstream_id in pending.upstream_ids():
+            self.parts.outliers.note_failure(upstream_id, now)
+            pending.failed.add(upstream_id)
+        self._grants.release(pending, 0)
+        step = self.parts.retries.next(
+            pending.work,
+            pending.attempts,
+            Outcome.UNKNOWN,
+            now,
+            repeatable=True,
+        )
+        if isinstance(step, Retry):
+            self._place.later(step.delay, lambda: self._attempt(pending))
+            return
+        self._end(pending, Ending.FAILED, step.reason)
+
+    def die(self) -> None:
+        """Lose every request in progress."""
+        for pending in tuple(self._pending_by_request.values()):
+            self._end(pending, Ending.LOST)
+        self.alive = False
+
+    def _current(self, attempt_id: str) -> Pending | None:
+        pending = self._pending_by_request.get(attempt_id.split('.')[0])
+        if pending is None or pending.attempt_id != attempt_id:
+            return None
+        return pending
+
+    def _attempt(self, pending: Pending) -> None:
+        """Choose engines for the next attempt, and ask the first."""
+        if pending.work.request_id not in self._pending_by_request:
+            return
+        pending.attempts += 1
+        pending.claim = None
+        pending.held = ()
+        work = pending.work_left()
+        records = self._place.records()
+        size = group_size(
+            memory_needed(work),
+            records[0].memory_tokens if records else 0,
+            self.parts.policy,
+        )
+        aside = self.parts.outliers.put_aside(self._place.now())
+        pending.candidates = self.parts.chooser.choose(
+            work, records, self._place.now(), pending.failed | aside, size
+        )
+        if size == 1:
+            self._ask_next(pending)
+            return
+        self._ask_group(pending, size)
+
+    def _ask_next(self, pending: Pending) -> None:
+        if not pending.candidates:
+            self._nowhere(pending)
+            return
+        work = pending.work_left()
+        ask = Ask(
+            work,
+            pending.attempt_id,
+            self.entry_id,
+            memory_needed(work),
+            self.parts.limits_by_account[work.account].weight,
+            admitted=pending.is_admitted,
+        )
+        self._send(pending, pending.candidates.pop(0), ask)
+
+    def _ask_group(self, pending: Pending, size: int) -> None:
+        if len(pending.candidates) < size:
+            self._nowhere(pending)
+            return
+        work = pending.work_left()
+        claim = GroupClaim(
+            work,
+            pending.attempt_id,
+            self.entry_id,
+            pending.candidates[:size],
+            memory_needed(work),
+        )
+        pending.claim = claim
+        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
+        self._ask_member(pending, claim)
+
+    def _ask_member(self, pending: Pending, claim: GroupClaim) -> None:
+        following = claim.next_ask()
+        if following is None:
+            self._start(pending)
+            return
+        self._send(pending, following[0], following[1])
+
+    def _renew(self, pending: Pending, claim: GroupClaim) -> None:
+        """Keep the holds of a group until it starts."""
+        is_current = pending.claim is claim and pending.run is None
+        if not is_current or self._current(pending.attempt_id) is None:
+            return
+        for held in pending.held:
+            self._grants.tell(held, renewal(held))
+        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
+
+    def _send(
+        self, pending: Pending, upstream_id: UpstreamId, ask: Ask
+    ) -> None:
+        pending.waits_at = upstream_id
+        now = self._place.now()
+        self.parts.chooser.note_sent(upstream_id, ask.work, now)
+        self.parts.outliers.note_sent(upstream_id, now)
+        self._place.ask(self.entry_id, upstream_id, ask)
+
+    def _turned_away(
+        self, pending: Pending, upstream_id: UpstreamId, refusal: Refusal
+    ) -> None:
+        pending.refusal = refusal
+        self.parts.chooser.note_done(upstream_id, pending.work)
+        if pending.claim is None:
+            self._ask_next(pending)
+            return
+        for held in pending.held:
+            self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+        pending.failed.add(upstream_id)
+        if pending.attempts < _GROUP_TRIES:
+            self._attempt(pending)
+            return
+        self._nowhere(pending)
+
+    def _nowhere(self, pending: Pending) -> None:
+        """End a request that no engine takes."""
+        reason = RefusalReason.NO_UPSTREAM
+        if pending.refusal is not None:
+            reason = pending.refusal.reason
+        ending = Ending.FAILED if pending.is_admitted else Ending.REFUSED
+        self._end(pending, ending, reason)
+
+    def _start(self, pending: Pending) -> None:
+        now = self._place.now()
+        if any(held.start_by <= now for held in pending.held):
+            for held in pending.held:
+                self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+            self._attempt(pending)
+            return
+        for held in pending.held:
+            self._grants.tell(held, begin(held))
+        work = pending.work_left()
+        job = Job(
+            attempt_id=pending.attempt_id,
+            request_id=work.request_id,
+            entry_id=self.entry_id,
+            prompt_tokens=work.prompt_tokens,
+            output_tokens=pending.request.output_tokens - pending.output_tokens,
+            memory_tokens=pending.held[0].memory_tokens,
+            priority=pending.held[0].priority,
+            prefix_hashes=work.prefix_hashes,
+            parts=len(pending.held),
+        )
+        pending.run = self._place.start(pending.upstream_ids(), job)
+
+    def _time_out(self, pending: Pending) -> None:
+        """Give up a request whose time limit has come."""
+        if pending.work.request_id not in self._pending_by_request:
+            return
+        if pending.waits_at is not None:
+            self._grants.give_back(pending.waits_at, pending.attempt_id)
+        held = pending.held
+        if pending.run is None:
+            for reservation in held:
+                self._grants.give_back(
+                    reservation.upstream_ids[0], reservation.attempt_id
+                )
+        else:
+            self._place.end(
+                pending.run, lambda: self._grants.release(pending, 0)
+            )
+        self._end(pending, Ending.MISSED)
+
+    def _end(
+        self,
+        pending: Pending,
+        ending: Ending,
+        reason: RefusalReason | None = None,
+    ) -> None:
+        self._pending_by_request.pop(pending.work.request_id, None)
+        output = 0
+        if ending is Ending.COMPLETED:
+            output = pending.request.output_tokens
+        self.parts.admission.done(
+            pending.work, self.parts.policy, output, self._place.now()
+        )
+        self._note(pending, ending, reason)
+
+    def _note(
+        self, pending: Pending, ending: Ending, reason: RefusalReason | None
+    ) -> None:
+        now = self._place.now()
+        arrival = pending.work.arrival
+        first = pending.first_token_at
+        self._place.note(
+            RequestResult(
+                pending.number,
+                pending.request,
+                ending,
+                now - arrival,
+                None if first is None else first - arrival,
+                pending.attempts,
+                reason,
+            )
+        )
--- /dev/null
+++ b/verbenathread/replay/owner.py
@@ -0,0 +1,108 @@
+"""The side of an entry that owns the memory of some engines."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from verbenathread.replay.events import EventLoop
+from verbenathread.scheduling.ledger import EngineLedger
+from verbenathread.scheduling.messages import Ask, Queued
+from verbenathread.types import NodeId, Refusal, Reservation, UpstreamId
+
+Answer = Reservation | Queued | Refusal
+LedgerAction = Callable[[EngineLedger], object]
+
+
+class AnswerPost(Protocol):
+    """Carries an owner's answers to the entries that asked."""
+
+    def answer(
+        self,
+        owner_id: NodeId,
+        entry_id: NodeId,
+        upstream_id: UpstreamId,
+        attempt_id: str,
+        answer: Answer,
+    ) -> None:
+        """Deliver an answer after the latency between both."""
+
+
+class OwnerSide:
+    """Ledgers that one entry keeps, and the grants that it sends out."""
+
+    def __init__(
+        self, owner_id: NodeId, loop: EventLoop, post: AnswerPost
+    ) -> None:
+        """Own nothing yet."""
+        self.owner_id = owner_id
+        self.ledger_by_id: dict[UpstreamId, EngineLedger] = {}
+        self._loop = loop
+        self._post = post
+        self._entry_by_waiting: dict[tuple[UpstreamId, str], NodeId] = {}
+        self._tick_by_id: dict[UpstreamId, float] = {}
+
+    def ask(self, upstream_id: UpstreamId, ask: Ask) -> None:
+        """Answer an ask; a queued one is answered again when granted."""
+        ledger = self.ledger_by_id.get(upstream_id)
+        if ledger is None:
+            return
+        answer = ledger.ask(ask)
+        if isinstance(answer, Queued):
+            key = (upstream_id, ask.attempt_id)
+            self._entry_by_waiting[key] = ask.entry_id
+        self._post.answer(
+            self.owner_id, ask.entry_id, upstream_id, ask.attempt_id, answer
+        )
+        self.pump(upstream_id)
+
+    def tell(self, upstream_id: UpstreamId, action: LedgerAction) -> None:
+        """Apply an entry's news to the ledger, and grant what it frees."""
+        ledger = self.ledger_by_id.get(upstream_id)
+        if ledger is None:
+            return
+        action(ledger)
+        self.pump(upstream_id)
+
+    def pump(self, upstream_id: UpstreamId) -> None:
+        """Send out what is granted, and look again in time."""
+        ledger = self.ledger_by_id.get(upstream_id)
+        if ledger is None:
+            return
+        for reservation in ledger.ready():
+            key = (upstream_id, reservation.attempt_id)
+            entry_id = self._entry_by_waiting.pop(key, None)
+            if entry_id is None:
+                continue
+            self._post.answer(
+                self.owner_id,
+                entry_id,
+                upstream_id,
+                reservation.attempt_id,
+                reservation,
+            )
+        self._tick(upstream_id, ledger)
+
+    def lose(self, upstream_id: UpstreamId, refusal: Refusal) -> None:
+        """Give up an engine that is gone, and turn away who waits for it."""
+        self.ledger_by_id.pop(upstream_id, None)
+        for key in tuple(self._entry_by_waiting):
+            if key[0] != upstream_id:
+                continue
+            entry_id = self._entry_by_waiting.pop(key)
+            self._post.answer(
+                self.owner_id, entry_id, upstream_id, key[1], refusal
+            )
+
+    def _tick(self, upstream_id: UpstreamId, ledger: EngineLedger) -> None:
+        moment = ledger.next_tick()
+        if moment is None:
+            return
+        planned = self._tick_by_id.get(upstream_id, 0)
+        if self._loop.now < planned <= moment:
+            return
+        # A reservation is late only after its start_by.
+        self._tick_by_id[upstream_id] = moment + 1
+        self._loop.call_at(moment + 1, self._ticked, upstream_id)
+
+    def _ticked(self, upstream_id: UpstreamId) -> None:
+        self._tick_by_id.pop(upstream_id, None)
+        self.pump(upstream_id)
--- /dev/null
+++ b/verbenathread/replay/pending.py
@@ -0,0 +1,169 @@
+"""A request in progress at an entry of a replay, and its messages."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from verbenathread.replay.engine import Job
+from verbenathread.replay.grouping import GroupRun
+from verbenathread.replay.owner import LedgerAction
+from verbenathread.replay.policies import EngineChooser
+from verbenathread.replay.results import RequestResult
+from verbenathread.replay.trace import TraceRequest
+from verbenathread.scheduling.estimates import OutputEstimator
+from verbenathread.scheduling.groups import GroupClaim
+from verbenathread.scheduling.messages import Ask
+from verbenathread.types import (
+    Millis,
+    NodeId,
+    Refusal,
+    Reservation,
+    UpstreamId,
+    UpstreamRecord,
+    Work,
+)
+
+
+class EntryPlace(Protocol):
+    """What an entry reaches through the network."""
+
+    def now(self) -> Millis:
+        """Return virtual time in ms."""
+
+    def later(self, delay: float, action: Callable[..., object]) -> None:
+        """Run an action after a delay in ms."""
+
+    def records(self) -> Sequence[UpstreamRecord]:
+        """Return the engines in service."""
+
+    def ask(self, entry_id: NodeId, upstream_id: UpstreamId, ask: Ask) -> None:
+        """Send an ask to the owner of an engine."""
+
+    def tell(
+        self, entry_id: NodeId, upstream_id: UpstreamId, action: LedgerAction
+    ) -> None:
+        """Send news to the owner of an engine."""
+
+    def start(self, upstream_ids: Sequence[UpstreamId], job: Job) -> GroupRun:
+        """Begin a job on its engines, after the latency."""
+
+    def end(self, run: GroupRun, confirmed: Callable[[], object]) -> None:
+        """Cancel a job on its engines, and confirm."""
+
+    def note(self, result: RequestResult) -> None:
+        """Take the end of one request."""
+
+
+class Pending:
+    """One request while the entry serves it."""
+
+    def __init__(self, number: int, request: TraceRequest, work: Work) -> None:
+        """Begin before the first attempt."""
+        self.number = number
+        self.request = request
+        self.work = work
+        self.attempts = 0
+        self.failed: set[UpstreamId] = set()
+        self.candidates: list[UpstreamId] = []
+        self.waits_at: UpstreamId | None = None
+        self.claim: GroupClaim | None = None
+        self.held: tuple[Reservation, ...] = ()
+        self.run: GroupRun | None = None
+        self.is_admitted = False
+        self.first_token_at: float | None = None
+        # Output of earlier attempts, which a resumed one does not repeat.
+        self.output_tokens = 0
+        self.refusal: Refusal | None = None
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the identifier of the attempt in progress."""
+        return f'{self.work.request_id}.{self.attempts}'
+
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the engines that the attempt holds memory of."""
+        return tuple(held.upstream_ids[0] for held in self.held)
+
+    def work_left(self) -> Work:
+        """Return what an attempt from the last token on would cost."""
+        done = self.output_tokens
+        work = self.work
+        return work._replace(
+            prompt_tokens=work.prompt_tokens + done,
+            most_output_tokens=work.most_output_tokens - done,
+            expected_output_tokens=max(1, work.expected_output_tokens - done),
+        )
+
+
+class Grants:
+    """Messages of one entry to the owners of engines."""
+
+    def __init__(
+        self, entry_id: NodeId, place: EntryPlace, chooser: EngineChooser
+    ) -> None:
+        """Speak for ``entry_id``."""
+        self._entry_id = entry_id
+        self._place = place
+        self._chooser = chooser
+
+    def tell(self, held: Reservation, action: LedgerAction) -> None:
+        """Send news of a hold to the engine's owner."""
+        self._place.tell(self._entry_id, held.upstream_ids[0], action)
+
+    def give_back(self, upstream_id: UpstreamId, attempt_id: str) -> None:
+        """Cancel an ask, or a grant that did not start."""
+        self._place.tell(
+            self._entry_id,
+            upstream_id,
+            lambda ledger: ledger.cancel(attempt_id),
+        )
+
+    def release(self, pending: Pending, output: int) -> None:
+        """Give back what an attempt held, once no engine holds it."""
+        held = pending.held
+        pending.held = ()
+        pending.run = None
+        for reservation in held:
+            self.tell(reservation, _release(reservation, output))
+            self._chooser.note_done(reservation.upstream_ids[0], pending.work)
+
+
+def new_work(
+    number: int,
+    request: TraceRequest,
+    outputs: OutputEstimator,
+    now: Millis,
+) -> Work:
+    """Return what the scheduler knows of a request that arrives now."""
+    expected = outputs.expected(
+        request.account, request.service, request.most_output_tokens
+    )
+    return Work(
+        request_id=f'r{number}',
+        account=request.account,
+        service=request.service,
+        prompt_tokens=request.prompt_tokens,
+        most_output_tokens=request.most_output_tokens,
+        expected_output_tokens=expected,
+        deadline=now + request.time_limit,
+        arrival=now,
+        prefix_hashes=request.prefix_hashes,
+    )
+
+
+def begin(held: Reservation) -> LedgerAction:
+    """Return the news that the engine has taken the attempt."""
+    return lambda ledger: ledger.started(held.reservation_id)
+
+
+def progress(held: Reservation) -> LedgerAction:
+    """Return the news of the first token."""
+    return lambda ledger: ledger.progress(held.reservation_id, 1)
+
+
+def renewal(held: Reservation) -> LedgerAction:
+    """Return the renewal of a group's hold."""
+    return lambda ledger: ledger.renew(held.reservation_id)
+
+
+def _release(held: Reservation, output: int) -> LedgerAction:
+    return lambda ledger: ledger.release(held.reservation_id, output)
--- /dev/null
+++ b/verbenathread/replay/replay.py
@@ -0,0 +1,165 @@
+"""Runs a trace over the real decision parts in virtual time."""
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from verbenathread.replay.deployment import (
+    NO_FAULTS,
+    Deployment,
+    Faults,
+    entry_name,
+)
+from verbenathread.replay.entry import Entry, EntryParts
+from verbenathread.replay.events import EventLoop
+from verbenathread.replay.fleet import Fleet
+from verbenathread.replay.gossip import Gossip
+from verbenathread.replay.policies import ChooserParts, Policy
+from verbenathread.replay.results import (
+    ReplayResult,
+    RequestResult,
+    Violations,
+)
+from verbenathread.replay.trace import TraceRequest
+from verbenathread.scheduling.admission import Admission
+from verbenathread.scheduling.estimates import OutputEstimator
+from verbenathread.scheduling.limits import AccountLimiter
+from verbenathread.scheduling.outliers import OutlierTracker
+from verbenathread.scheduling.prefixes import PrefixIndex
+from verbenathread.scheduling.retries import RetryPolicy
+from verbenathread.schema import settings_pb2
+from verbenathread.types import Millis
+
+# After the last time limit: cancels are confirmed and leases run out.
+_SETTLE: Millis = 10000
+_MS = 1000
+# Long prompts at once, where a replay sets no limit.
+_NO_LIMIT = 10000
+
+
+def default_policy() -> settings_pb2.PolicySettings:
+    """Return the policy with the defaults of the settings page."""
+    policy = settings_pb2.PolicySettings()
+    for field in settings_pb2.PolicySettings.DESCRIPTOR.fields:
+        options: Any = field.GetOptions()
+        rule = options.Extensions[settings_pb2.rule]
+        # Every field of the policy is a number.
+        number = float(rule.default_text)
+        is_whole = field.cpp_type == field.CPPTYPE_UINT32
+        setattr(policy, field.name, int(number) if is_whole else number)
+    return policy
+
+
+class Replay:
+    """One run of a trace under one policy."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        policy: Policy,
+        limits_by_account: Mapping[str, settings_pb2.AccountSettings],
+        seed: int = 1,
+    ) -> None:
+        """Build the fleet; ``seed`` decides every draw of the run."""
+        self._loop = EventLoop()
+        self._settings = default_policy()
+        self._fleet = Fleet(
+            deployment, self._settings, policy.tuning, self._loop
+        )
+        self._gossip = Gossip(self._fleet, random.Random(f'{seed}/gossip'))
+        for position in range(deployment.entries):
+            entry_id = entry_name(position)
+            rng = random.Random(f'{seed}/{entry_id}')
+            prefixes = PrefixIndex()
+            parts = EntryParts(
+                chooser=policy.make_chooser(
+                    ChooserParts(position, self._settings, rng, prefixes)
+                ),
+                admission=Admission(AccountLimiter(deployment.entries, 0)),
+                retries=RetryPolicy(self._settings, rng),
+                outliers=OutlierTracker(),
+                outputs=OutputEstimator(),
+                policy=self._settings,
+                limits_by_account=dict(limits_by_account),
+            )
+            entry = Entry(entry_id, parts, self._fleet)
+            self._fleet.entry_by_id[entry_id] = entry
+            if policy.tuning.affinity:
+                self._gossip.prefixes_by_entry[entry_id] = prefixes
+
+    def run(
+        self, trace: Sequence[TraceRequest], faults: Faults = NO_FAULTS
+    ) -> ReplayResult:
+        """Run the whole trace and what it leaves behind."""
+        for number, request in enumerate(trace):
+            self._loop.call_at(request.arrival, self._arrive, number, request)
+        last_limit = max(
+            (asked.arrival + asked.time_limit for asked in trace), default=0
+        )
+        end = last_limit + _SETTLE
+        self._gossip.start(end, faults.reports_missing)
+        for position, moment in faults.engine_deaths:
+            self._loop.call_at(moment, self._fleet.kill_engine, position)
+        for position, moment in faults.entry_deaths:
+            self._loop.call_at(moment, self._fleet.kill_entry, position)
+        self._loop.run(end)
+        results = sorted(self._fleet.results)
+        return ReplayResult(
+            tuple(results),
+            self._violations(len(trace), results),
+            sum(ended.attempts for ended in results),
+            max((asked.arrival for asked in trace), default=0),
+        )
+
+    def _arrive(self, number: int, request: TraceRequest) -> None:
+        """Bring a request to its entry, or to the next one that lives."""
+        entries = sorted(self._fleet.entry_by_id)
+        turned = entries[request.entry :] + entries[: request.entry]
+        for entry_id in turned:
+            entry = self._fleet.entry_by_id[entry_id]
+            if entry.alive:
+                entry.arrive(number, request)
+                return
+
+    def _violations(
+        self, requests: int, results: Sequence[RequestResult]
+    ) -> Violations:
+        past_limit = sum(
+            ended.ended_after > ended.request.time_limit for ended in results
+        )
+        engines = self._fleet.engine_by_id.values()
+        held = sum(engine.used_tokens() > 0 for engine in engines)
+        held += sum(
+            ledger.free_tokens != ledger.memory_tokens
+            for ledger in self._fleet.ledgers()
+        )
+        return Violations(
+            past_limit=past_limit,
+            memory_over=sum(engine.overcommits for engine in engines),
+            holds_left=held,
+            run_twice=self._fleet.run_twice,
+            unanswered=abs(requests - len(results)),
+        )
+
+
+def limits_for(
+    trace: Sequence[TraceRequest], times: float = 1e6
+) -> dict[str, settings_pb2.AccountSettings]:
+    """Return limits of ``times`` each account's mean rate in the trace."""
+    duration = max((request.arrival for request in trace), default=1)
+    count_by_account: dict[str, int] = {}
+    tokens_by_account: dict[str, int] = {}
+    for request in trace:
+        name = request.account
+        count_by_account[name] = count_by_account.get(name, 0) + 1
+        tokens = request.prompt_tokens + request.most_output_tokens
+        tokens_by_account[name] = tokens_by_account.get(name, 0) + tokens
+    return {
+        name: settings_pb2.AccountSettings(
+            requests_per_second=count * _MS / duration * times,
+            tokens_per_second=tokens_by_account[name] * _MS / duration * times,
+            long_prompts=_NO_LIMIT,
+            weight=1,
+        )
+        for name, count in count_by_account.items()
+    }
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -6,6 +6,7 @@
 
 from verbenathread.scheduling.classes import length_class
 from verbenathread.scheduling.messages import EngineReport
+from verbenathread.scheduling.prefixes import PrefixIndex
 from verbenathread.scheduling.tuning import CURRENT, Tuning
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
@@ -60,12 +61,14 @@
         policy: settings_pb2.PolicySettings,
         rng: random.Random,
         tuning: Tuning = CURRENT,
+        prefixes: PrefixIndex | None = None,
     ) -> None:
         """Know nothing of any engine; ``rng`` decides the samples."""
         self.policy = policy
         self.looked_at = 0
         self._rng = rng
         self._tuning = tuning
+        self._prefixes = prefixes
         self._seen_by_id: dict[UpstreamId, _Seen] = {}
 
     def choose(
@@ -74,13 +77,16 @@
         records: Sequence[UpstreamRecord],
         now: Millis,
         failed: Collection[UpstreamId] = (),
+        least: int = 1,
     ) -> list[UpstreamId]:
         """Return sampled engines, the one with the least wait first.
 
         ``records`` are the engines of the service in one order on every
-        entry; those in ``failed`` are passed over.
+        entry; those in ``failed`` are passed over. A group needs at least
+        ``least`` engines, and gets a sample of more.
         """
-        sample = self._sample(records, failed)
+        count = self.policy.candidates + len(failed) + 2 * (least - 1)
+        sample = self._sample(records, failed, count)
         scored = [
             (self._expected(work, record, now), record.upstream_id)
             for record in sample
@@ -123,8 +129,9 @@
         self,
         records: Sequence[UpstreamRecord],
         failed: Collection[UpstreamId],
+        wanted: int,
     ) -> list[UpstreamRecord]:
-        count = min(len(records), self.policy.candidates + len(failed))
+        count = min(len(records), wanted)
         drawn = self._rng.sample(range(len(records)), count)
         self.looked_at += count
         return [
