--- /dev/null
+++ b/tests/consensus_network.py
@@ -0,0 +1,297 @@
+"""A group of replicas over a network and disks that misbehave on demand.
+
+Everything runs on the virtual loop and draws from one seeded generator.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+from verbenathread.clock import LoopClock, seconds
+from verbenathread.consensus.disk import RecordStorage
+from verbenathread.consensus.replica import Replica
+from verbenathread.consensus.settings import ReplicaSettings
+from verbenathread.exceptions import UnavailableError
+from verbenathread.types import Address, Peer
+
+LIMIT = 20_000
+
+
+class MemoryFiles:
+    """Files that know which of their bytes were synced."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.content: dict[str, bytes] = {}
+        self.synced: dict[str, bytes] = {}
+        # Names as of the last sync of the folder.
+        self.durable: set[str] = set()
+        self.failing = False
+        self.before_sync: Callable[[], None] = lambda: None
+        self.sync_seconds = 0.002
+
+    def lock(self) -> None:
+        """Nobody else opens these files."""
+
+    def names(self):
+        return sorted(self.content)
+
+    def read(self, name):
+        return self.content[name]
+
+    def append(self, name, content):
+        self.content[name] = self.content.get(name, b'') + content
+
+    def overwrite(self, name, content):
+        self.content[name] = (
+            content + self.content.get(name, b'')[len(content) :]
+        )
+
+    def cut(self, name, length):
+        self.content[name] = self.content[name][:length]
+
+    def rename(self, name, new_name):
+        self.content[new_name] = self.content.pop(name)
+        if name in self.synced:
+            self.synced[new_name] = self.synced.pop(name)
+
+    def remove(self, name):
+        self.content.pop(name)
+
+    async def sync(self, name):
+        content = self.content[name]
+        self.before_sync()
+        await asyncio.sleep(self.chance.uniform(0, self.sync_seconds))
+        if self.failing:
+            raise OSError(5, 'Input/output error')
+        self.synced[name] = content
+
+    async def sync_folder(self):
+        names = sorted(self.content)
+        self.before_sync()
+        await asyncio.sleep(self.chance.uniform(0, self.sync_seconds))
+        self.durable = set(names)
+
+    def path(self, name):
+        return f'memory/{name}'
+
+    def close(self) -> None:
+        """Keep the content for the next start."""
+
+    def crashed(self) -> 'MemoryFiles':
+        """Return what a machine finds after it lost power now."""
+        after = MemoryFiles(self.chance)
+        names = sorted(self.durable)
+        if self.chance.randrange(2):
+            names = sorted(self.content)
+        for name in names:
+            kept = self.synced.get(name, b'')
+            current = self.content.get(name, kept)
+            if current.startswith(kept):
+                torn = self.chance.randint(len(kept), len(current))
+                kept = current[:torn]
+            after.content[name] = kept
+            after.synced[name] = kept
+        after.durable = set(names)
+        return after
+
+
+class ListMachine:
+    """Keeps every command with its index; the result is their count."""
+
+    def __init__(self) -> None:
+        self.applied: list[tuple[int, str]] = []
+
+    def apply(self, index, command):
+        self.applied.append((index, command.decode()))
+        return str(len(self.applied)).encode()
+
+    def snapshot(self):
+        return json.dumps(self.applied).encode()
+
+    def restore(self, image):
+        self.applied = [(index, text) for index, text in json.loads(image)]
+
+
+class Network:
+    """Carries calls, and drops, delays, doubles or cuts them."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.replica_by_id: dict[str, Replica] = {}
+        # Pairs of sender and receiver between which nothing passes.
+        self.cut: set[tuple[str, str]] = set()
+        self.drop = 0.0
+        self.double = 0.0
+        self.slowest_ms = 2.0
+        self.calls = 0
+        self.bytes = 0
+        self.doubles: list[asyncio.Task[None]] = []
+
+    def isolate(self, node_id):
+        for other in self.replica_by_id:
+            self.cut |= {(node_id, other), (other, node_id)}
+
+    def heal(self):
+        self.cut.clear()
+
+    async def pass_over(self, sender, receiver):
+        await asyncio.sleep(self.chance.uniform(0.2, self.slowest_ms) / 1000)
+        lost = self.chance.random() < self.drop
+        if lost or (sender, receiver) in self.cut:
+            # Nothing ever arrives; the caller's limit ends the wait.
+            await asyncio.get_running_loop().create_future()
+
+    async def call(self, kind, sender, receiver, request):
+        copy = type(request)()
+        copy.CopyFrom(request)
+        self.calls += 1
+        self.bytes += request.ByteSize()
+        await self.pass_over(sender, receiver)
+        replica = self.replica_by_id.get(receiver)
+        if replica is None:
+            raise UnavailableError('Nobody listens there; try another one.')
+        reply = await getattr(replica, kind)(copy)
+        await self.pass_over(receiver, sender)
+        self.bytes += reply.ByteSize()
+        return reply
+
+    async def repeat(self, kind, sender, receiver, request):
+        await asyncio.sleep(self.chance.uniform(0, 0.5))
+        try:
+            await asyncio.wait_for(
+                self.call(kind, sender, receiver, request), 1
+            )
+        except (TimeoutError, UnavailableError):
+            return
+
+
+class Wire:
+    """The transport of one replica."""
+
+    def __init__(self, network: Network, sender: str) -> None:
+        self.network = network
+        self.sender = sender
+
+    def __getattr__(self, kind):
+        async def call(peer, request, limit):
+            network = self.network
+            if network.chance.random() < network.double:
+                again = network.repeat(kind, self.sender, peer.node_id, request)
+                network.doubles.append(asyncio.create_task(again))
+            try:
+                return await asyncio.wait_for(
+                    network.call(kind, self.sender, peer.node_id, request),
+                    seconds(limit),
+                )
+            except TimeoutError:
+                raise UnavailableError('No answer came in time.') from None
+
+        return call
+
+
+def peer(node_id):
+    return Peer(node_id, Address('127.0.0.1', 7000 + int(node_id[1:])))
+
+
+async def in_turn(call, arguments):
+    """Await ``call`` for each argument, one after another."""
+    left = list(arguments)
+    while left:
+        await call(left.pop(0))
+
+
+class Group:
+    """Replicas n1, n2, ... with their disks and machines."""
+
+    def __init__(self, voters=3, seed=1, **settings) -> None:
+        self.chance = random.Random(seed)
+        self.network = Network(self.chance)
+        self.settings = settings
+        self.first = tuple(peer(f'n{n + 1}') for n in range(voters))
+        self.files_by_id: dict[str, MemoryFiles] = {}
+        self.machine_by_id: dict[str, ListMachine] = {}
+
+    async def __aenter__(self):
+        await in_turn(self.start, [one.node_id for one in self.first])
+        return self
+
+    async def __aexit__(self, *_):
+        await in_turn(self.stop, list(self.replicas))
+
+    @property
+    def replicas(self):
+        return self.network.replica_by_id
+
+    async def start(self, node_id, *, join=False):
+        files = self.files_by_id.setdefault(node_id, MemoryFiles(self.chance))
+        machine = ListMachine()
+        replica = Replica(
+            settings=ReplicaSettings(
+                me=peer(node_id),
+                cluster='test',
+                first_members=self.first,
+                join=join,
+                **self.settings,
+            ),
+            storage=RecordStorage(files),
+            machine=machine,
+            transport=Wire(self.network, node_id),
+            clock=LoopClock(),
+            random=self.chance,
+        )
+        await replica.start()
+        self.machine_by_id[node_id] = machine
+        self.replicas[node_id] = replica
+        return replica
+
+    async def stop(self, node_id, *, hand_over=False):
+        replica = self.replicas.pop(node_id)
+        await replica.stop(hand_over=hand_over)
+
+    async def crash(self, node_id):
+        """Lose power: what was not synced may be lost or torn."""
+        replica = self.replicas.pop(node_id)
+        self.files_by_id[node_id] = self.files_by_id[node_id].crashed()
+        await replica.stop(hand_over=False)
+
+    async def lose_disk(self, node_id):
+        await self.crash(node_id)
+        self.files_by_id.pop(node_id)
+
+    async def leader(self, *, among=None):
+        """Wait for a leader and return its node id."""
+        deadline = asyncio.get_running_loop().time() + 60
+        while asyncio.get_running_loop().time() < deadline:
+            for node_id, replica in self.replicas.items():
+                named = among is None or node_id in among
+                if named and replica.status().is_leader:
+                    return node_id
+            await asyncio.sleep(0.01)
+        raise AssertionError('no leader in 60 s')
+
+    async def propose(self, text, limit=LIMIT):
+        replica = self.replicas[await self.leader()]
+        return await replica.propose(text.encode(), limit)
+
+    async def propose_all(self, texts):
+        """Propose one after another and return the last index."""
+        indexes = []
+
+        async def one(text):
+            indexes.append((await self.propose(text)).index)
+
+        await in_turn(one, texts)
+        return indexes[-1]
+
+    async def settle(self, index, *node_ids):
+        """Wait until replicas, or all, have applied up to ``index``."""
+
+        async def one(node_id):
+            await self.replicas[node_id].wait_applied(index - 1, LIMIT)
+
+        await in_turn(one, node_ids or list(self.replicas))
+
+    def texts(self, node_id):
+        return [text for _, text in self.machine_by_id[node_id].applied]
--- /dev/null
+++ b/verbenathread/consensus/disk.py
@@ -0,0 +1,149 @@
+"""Durable state of a replica in one data folder."""
+
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+from verbenathread.consensus.files import DiskFiles, Files
+from verbenathread.consensus.folder import REPLACE, Folder
+from verbenathread.consensus.segments import SegmentLog, saved_ballot
+from verbenathread.consensus.storage import Ballot, Saved
+from verbenathread.exceptions import StorageError
+from verbenathread.schema.consensus_pb2 import (
+    DiskRecord,
+    LogEntry,
+    LogSnapshot,
+    StoreIdentity,
+)
+
+_IDENTITY = 'identity'
+_SNAPSHOT = 'snapshot-'
+
+
+class RecordStorage:
+    """Durable state over any :class:`Files`."""
+
+    def __init__(self, files: Files) -> None:
+        """Touch nothing before :meth:`load`."""
+        self._folder = Folder(files)
+        self._segments = SegmentLog(self._folder)
+
+    async def load(self, cluster: str, node_id: str) -> Saved:
+        """Read the folder, or make a new store in an empty one."""
+        self._folder.files.lock()
+        names = self._folder.clean()
+        snapshot = self._read_snapshot(names)
+        await self._segments.read(names)
+        if _IDENTITY not in names:
+            await self._make_identity(cluster, node_id, snapshot)
+        identity = self._check_identity(cluster, node_id)
+        await self._join_snapshot(snapshot)
+        replay = self._segments.replay
+        saved = Saved(
+            store_id=identity.store_id,
+            ballot=replay.ballot,
+            base_index=replay.base_index,
+            base_term=replay.base_term,
+            entries=replay.entries,
+            snapshot=snapshot,
+        )
+        # The replica keeps the entries; here only the end of the log counts.
+        replay.entries = []
+        return saved
+
+    async def save_ballot(self, ballot: Ballot) -> None:
+        """Save the term and the vote with one sync."""
+        self._segments.replay.ballot = ballot
+        await self._segments.append(DiskRecord(ballot=saved_ballot(ballot)))
+
+    async def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries with one sync."""
+        await self._segments.append(DiskRecord(entries=entries))
+
+    async def compact(self, snapshot: LogSnapshot, keep_after: int) -> None:
+        """Save a snapshot, begin a segment, drop those not needed."""
+        await self._write_snapshot(snapshot)
+        await self._segments.begin_segment()
+        await self._segments.drop(keep_after)
+
+    async def reset(self, snapshot: LogSnapshot) -> None:
+        """Save a snapshot and begin an empty log after it."""
+        await self._write_snapshot(snapshot)
+        await self._segments.begin_empty(snapshot.index, snapshot.term)
+
+    def sync_count(self) -> int:
+        """Return how many syncs were made since the start."""
+        return self._folder.syncs
+
+    def close(self) -> None:
+        """Let go of the files."""
+        self._folder.files.close()
+
+    async def _make_identity(
+        self, cluster: str, node_id: str, snapshot: LogSnapshot | None
+    ) -> None:
+        if snapshot is not None or self._segments.replay.is_used():
+            raise StorageError(
+                f'{self._folder.path(_IDENTITY)} is missing though the folder '
+                f'holds a log. {REPLACE}'
+            )
+        if self._segments.is_empty():
+            await self._segments.begin_segment()
+        identity = StoreIdentity(
+            cluster=cluster, node_id=node_id, store_id=uuid.uuid4().hex
+        )
+        await self._folder.write_whole(_IDENTITY, identity.SerializeToString())
+
+    def _check_identity(self, cluster: str, node_id: str) -> StoreIdentity:
+        identity = StoreIdentity.FromString(self._folder.read_whole(_IDENTITY))
+        path = self._folder.path(_IDENTITY)
+        if identity.cluster != cluster:
+            raise StorageError(
+                f'{path} belongs to cluster {identity.cluster}, not to '
+                f'{cluster}; correct data_folder or cluster in the settings.'
+            )
+        if identity.node_id != node_id:
+            raise StorageError(
+                f'{path} belongs to node {identity.node_id}, not to '
+                f'{node_id}; correct data_folder or id in the settings.'
+            )
+        if self._segments.is_empty():
+            raise StorageError(
+                f'All segments of the log beside {path} are missing. {REPLACE}'
+            )
+        return identity
+
+    async def _join_snapshot(self, snapshot: LogSnapshot | None) -> None:
+        """Make the log follow on the snapshot, as a crash may have left it."""
+        replay = self._segments.replay
+        index = 0 if snapshot is None else snapshot.index
+        if replay.base_index > index:
+            raise StorageError(
+                f'{self._folder.path(_SNAPSHOT)}* up to {replay.base_index} '
+                f'is missing; the log begins after it. {REPLACE}'
+            )
+        if snapshot is None:
+            return
+        if replay.term_at(snapshot.index) != snapshot.term:
+            await self._segments.begin_empty(snapshot.index, snapshot.term)
+
+    def _read_snapshot(self, names: list[str]) -> LogSnapshot | None:
+        found = [name for name in names if name.startswith(_SNAPSHOT)]
+        if not found:
+            return None
+        return LogSnapshot.FromString(self._folder.read_whole(found[-1]))
+
+    async def _write_snapshot(self, snapshot: LogSnapshot) -> None:
+        name = f'{_SNAPSHOT}{snapshot.index:016d}'
+        await self._folder.write_whole(name, snapshot.SerializeToString())
+        for other in self._folder.files.names():
+            if other.startswith(_SNAPSHOT) and other < name:
+                self._folder.files.remove(other)
+
+
+class FileStorage(RecordStorage):
+    """Durable state in one data folder on a disk."""
+
+    def __init__(self, data_folder: str | Path) -> None:
+        """Use ``data_folder``, which is made if missing."""
+        super().__init__(DiskFiles(Path(data_folder)))
--- /dev/null
+++ b/verbenathread/consensus/files.py
@@ -0,0 +1,161 @@
+"""The files of one data folder, and when they are synced."""
+
+import asyncio
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+from verbenathread.exceptions import StorageError
+
+_LOCK_NAME = 'lock'
+_FILE_MODE = 0o600
+
+
+class Files(Protocol):
+    """Files in one folder. What was not synced may be lost in a crash.
+
+    Errors of the system are raised as OSError.
+    """
+
+    def lock(self) -> None:
+        """Keep other processes out, or raise StorageError."""
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+
+    def append(self, name: str, content: bytes) -> None:
+        """Add to the end of a file, which is made if missing."""
+
+    def overwrite(self, name: str, content: bytes) -> None:
+        """Write at the start of a file, which is made if missing."""
+
+    def cut(self, name: str, length: int) -> None:
+        """Shorten a file."""
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Rename a file, replacing any that stands there."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+    async def sync(self, name: str) -> None:
+        """Return once the content of a file is durable."""
+
+    async def sync_folder(self) -> None:
+        """Return once names made, changed and removed are durable."""
+
+    def path(self, name: str) -> str:
+        """Return the path of a file for messages."""
+
+    def close(self) -> None:
+        """Let go of all files and of the lock."""
+
+
+class DiskFiles:
+    """Files on a disk; syncs run in a thread, so heartbeats go on."""
+
+    def __init__(self, folder: Path) -> None:
+        """Use ``folder``, which is made if missing."""
+        self._folder = folder
+        self._descriptor_by_name: dict[str, int] = {}
+
+    def lock(self) -> None:
+        """Hold an advisory lock until :meth:`close`."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        descriptor = self._open(_LOCK_NAME)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self.close()
+            raise StorageError(
+                f'{self._folder} is in use by another process; stop that one '
+                'or give this one a data folder of its own.'
+            ) from None
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        names = []
+        for entry in self._folder.iterdir():
+            if entry.is_file() and entry.name != _LOCK_NAME:
+                names.append(entry.name)
+        return sorted(names)
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str, content: bytes) -> None:
+        """Add to the end of a file."""
+        descriptor = self._open(name)
+        self._write(descriptor, content, os.lseek(descriptor, 0, os.SEEK_END))
+
+    def overwrite(self, name: str, content: bytes) -> None:
+        """Write at the start of a file."""
+        self._write(self._open(name), content, 0)
+
+    def cut(self, name: str, length: int) -> None:
+        """Shorten a file."""
+        os.ftruncate(self._open(name), length)
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Rename a file, replacing any that stands there."""
+        self._close(name)
+        self._close(new_name)
+        (self._folder / name).replace(self._folder / new_name)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._close(name)
+        (self._folder / name).unlink()
+
+    async def sync(self, name: str) -> None:
+        """Sync the content of a file."""
+        await asyncio.to_thread(os.fsync, self._open(name))
+
+    async def sync_folder(self) -> None:
+        """Sync the names in the folder."""
+        await asyncio.to_thread(_sync_folder, self._folder)
+
+    def path(self, name: str) -> str:
+        """Return the path of a file."""
+        return str(self._folder / name)
+
+    def close(self) -> None:
+        """Close every file, and with them the lock."""
+        for name in tuple(self._descriptor_by_name):
+            self._close(name)
+
+    def _open(self, name: str) -> int:
+        descriptor = self._descriptor_by_name.get(name)
+        if descriptor is None:
+            descriptor = os.open(
+                self._folder / name, os.O_RDWR | os.O_CREAT, _FILE_MODE
+            )
+            self._descriptor_by_name[name] = descriptor
+        return descriptor
+
+    def _close(self, name: str) -> None:
+        descriptor = self._descriptor_by_name.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _write(self, descriptor: int, content: bytes, offset: int) -> None:
+        written = 0
+        while written < len(content):
+            written += os.pwrite(
+                descriptor, content[written:], offset + written
+            )
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    except OSError:
+        os.close(descriptor)
+        raise
+    os.close(descriptor)
--- /dev/null
+++ b/verbenathread/consensus/follower.py
@@ -0,0 +1,140 @@
+"""The following side: takes entries and heartbeats of the leader.
+
+After Raft (Ongaro and Ousterhout 2014, section 5.3).
+"""
+
+from verbenathread.consensus.state import ReplicaState
+from verbenathread.exceptions import StorageError
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema.consensus_pb2 import (
+    AppendReply,
+    AppendRequest,
+    BeatReply,
+    BeatRequest,
+    Envelope,
+    LogEntry,
+)
+
+_log = get_logger('consensus')
+
+
+class Follower:
+    """Answers the leader; what it confirms is synced."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        """Act on ``state``."""
+        self._state = state
+        self._warned = False
+
+    async def append(self, request: AppendRequest) -> AppendReply:
+        """Take entries that follow on what this log holds."""
+        state = self._state
+        if not self.listens(request.head):
+            return AppendReply(head=state.head())
+        async with state.lock:
+            if not await self.follow(request.head):
+                return AppendReply(head=state.head())
+            return await self._append(request)
+
+    async def beat(self, request: BeatRequest) -> BeatReply:
+        """Take a heartbeat; in a known term without waiting for a sync."""
+        state = self._state
+        head = request.head
+        if not self.listens(head):
+            return BeatReply(head=state.head())
+        if head.term > state.term:
+            async with state.lock:
+                await self.follow(head)
+        if head.term == state.term:
+            self._note_leader(head)
+            state.commit_to(min(request.commit_index, state.log.last_index))
+        return BeatReply(head=state.head(), round=request.round)
+
+    def listens(self, head: Envelope) -> bool:
+        """Tell whether a message is for this store, and keep the leader."""
+        state = self._state
+        if not state.is_meant(head):
+            if not self._warned:
+                _log.error(
+                    'The group knows this node by another data folder. Put '
+                    'that folder back, or remove the node from the group '
+                    'and add it again as a new member.'
+                )
+            self._warned = True
+            return False
+        if head.term == state.term:
+            self._note_leader(head)
+        return True
+
+    async def follow(self, head: Envelope) -> bool:
+        """Follow the sender unless its term is over. The lock is held."""
+        state = self._state
+        await state.enter_term(head.term)
+        if head.term < state.term:
+            return False
+        self._note_leader(head)
+        return True
+
+    def _note_leader(self, head: Envelope) -> None:
+        state = self._state
+        if state.leading is not None:
+            return
+        if state.leader_id != head.sender:
+            state.follow(head.sender)
+        state.election.heard_leader()
+
+    async def _append(self, request: AppendRequest) -> AppendReply:
+        state = self._state
+        previous = request.previous_index
+        if not self._is_joined(request):
+            return AppendReply(
+                head=state.head(), next_index=self._look_next(previous)
+            )
+        fresh = self._fresh_entries(request)
+        if fresh:
+            await state.storage.append(fresh)
+            state.log.extend(fresh)
+        match_index = previous + len(request.entries)
+        state.commit_to(min(request.commit_index, match_index))
+        return AppendReply(
+            head=state.head(), matched=True, match_index=match_index
+        )
+
+    def _is_joined(self, request: AppendRequest) -> bool:
+        """Tell whether this log holds the entry before the new ones."""
+        log = self._state.log
+        if request.previous_index < log.base_index:
+            # All before the base is committed, and so equal everywhere.
+            return True
+        return log.term_at(request.previous_index) == request.previous_term
+
+    def _look_next(self, previous: int) -> int:
+        """Return the first index of the term that did not agree."""
+        log = self._state.log
+        if previous > log.last_index:
+            return log.last_index + 1
+        index = previous
+        term = log.term_at(index)
+        while index > self._state.commit_index + 1:
+            if log.term_at(index - 1) != term:
+                break
+            index -= 1
+        return index
+
+    def _fresh_entries(self, request: AppendRequest) -> list[LogEntry]:
+        """Return the entries from the first one that this log lacks on."""
+        state = self._state
+        entries = list(request.entries)
+        for position, entry in enumerate(entries):
+            if entry.index <= state.log.base_index:
+                continue
+            if state.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= state.commit_index:
+                raise StorageError(
+                    f'Entry {entry.index} is committed here and the leader '
+                    'holds another; stop this replica, keep its data folder '
+                    'and replace it by a new member.'
+                )
+            return entries[position:]
+        return []
--- /dev/null
+++ b/verbenathread/consensus/log.py
@@ -0,0 +1,134 @@
+"""The log in memory: entries after a base, and the members they set."""
+
+from collections.abc import Sequence
+
+from verbenathread.schema.consensus_pb2 import (
+    ENTRY_MEMBERS,
+    LogEntry,
+    LogMembers,
+    LogSnapshot,
+)
+
+
+class Log:
+    """Entries from ``base_index + 1`` on, and who is a member when."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.base_index = 0
+        self.base_term = 0
+        self._entries: list[LogEntry] = []
+        # Indexes at which members were set, ascending, with what was set.
+        self._members: list[tuple[int, LogMembers]] = [(0, LogMembers())]
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def load(self, base: tuple[int, int], entries: Sequence[LogEntry]) -> None:
+        """Replace the entries by those after ``base``, an index and term."""
+        index, term = base
+        self.base_index = index
+        self.base_term = term
+        self._entries = list(entries)
+
+    def load_members(self, index: int, members: LogMembers) -> None:
+        """Set the members at ``index`` and read later ones off the log."""
+        self._members = [(index, members)]
+        for entry in self.after(index):
+            self._note_members(entry)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at an index; None when it is not held here."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entry(index).term
+        return None
+
+    def entry(self, index: int) -> LogEntry:
+        """Return the entry at an index that is held here."""
+        return self._entries[index - self.base_index - 1]
+
+    def after(
+        self, index: int, most_bytes: int | None = None
+    ) -> list[LogEntry]:
+        """Return entries after ``index``, at least one of them if any."""
+        start = max(0, index - self.base_index)
+        if most_bytes is None:
+            return self._entries[start:]
+        size = 0
+        stop = start
+        while stop < len(self._entries):
+            size += self._entries[stop].ByteSize()
+            if size > most_bytes and stop > start:
+                break
+            stop += 1
+        return self._entries[start:stop]
+
+    def extend(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries, which replace whatever stood from the first one on."""
+        if not entries:
+            return
+        self._cut_from(entries[0].index)
+        for entry in entries:
+            self._entries.append(entry)
+            self._note_members(entry)
+
+    def drop_to(self, index: int) -> None:
+        """Forget entries up to ``index``."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        if term is None:
+            return
+        self._entries = self._entries[index - self.base_index :]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, snapshot: LogSnapshot) -> None:
+        """Begin empty after a snapshot."""
+        self.load((snapshot.index, snapshot.term), ())
+        self.load_members(snapshot.index, snapshot.members)
+
+    def members(self) -> LogMembers:
+        """Return the latest members, committed or not."""
+        return self._members[-1][1]
+
+    def members_index(self) -> int:
+        """Return the index at which the latest members were set."""
+        return self._members[-1][0]
+
+    def members_at(self, index: int) -> LogMembers:
+        """Return the members in force at an index."""
+        return self._pair_at(index)[1]
+
+    def forget_members_before(self, index: int) -> None:
+        """Keep only the members in force from ``index`` on."""
+        current = self._pair_at(index)
+        later = [pair for pair in self._members if pair[0] > index]
+        self._members = [current, *later]
+
+    def _pair_at(self, index: int) -> tuple[int, LogMembers]:
+        found = self._members[0]
+        for pair in self._members:
+            if pair[0] <= index:
+                found = pair
+        return found
+
+    def _cut_from(self, index: int) -> None:
+        keep = max(0, index - self.base_index - 1)
+        if keep < len(self._entries):
+            self._entries = self._entries[:keep]
+        while len(self._members) > 1 and self.members_index() >= index:
+            self._members.pop()
+
+    def _note_members(self, entry: LogEntry) -> None:
+        if entry.kind == ENTRY_MEMBERS:
+            self._members.append((entry.index, entry.members))
--- /dev/null
+++ b/verbenathread/consensus/members.py
@@ -0,0 +1,110 @@
+"""Who belongs to a group, and what counts as a quorum of it.
+
+A member is a node id together with the store (the data folder) that it had
+when it was added. A node that lost its disk has another store, so its votes
+and its log count for nothing until it is added anew.
+"""
+
+from collections.abc import Collection, Iterable
+
+from verbenathread.schema.consensus_pb2 import LogMember, LogMembers
+from verbenathread.types import Address, Peer
+
+
+def members_of(peers: Iterable[Peer]) -> LogMembers:
+    """Return first members, whose stores are not known yet."""
+    members = LogMembers()
+    for peer in peers:
+        members.members.append(member_of(peer, voter=True, store_id=''))
+    return members
+
+
+def member_of(peer: Peer, *, voter: bool, store_id: str) -> LogMember:
+    """Return a member at the address of ``peer``."""
+    return LogMember(
+        node_id=peer.node_id,
+        host=peer.address.host,
+        port=peer.address.port,
+        voter=voter,
+        store_id=store_id,
+    )
+
+
+def peer_of(member: LogMember) -> Peer:
+    """Return where a member is reached."""
+    return Peer(member.node_id, Address(member.host, member.port))
+
+
+def find(members: LogMembers, node_id: str) -> LogMember | None:
+    """Return one member, or None."""
+    for member in members.members:
+        if member.node_id == node_id:
+            return member
+    return None
+
+
+def voters(members: LogMembers) -> list[LogMember]:
+    """Return the members that vote."""
+    return [member for member in members.members if member.voter]
+
+
+def is_formed(members: LogMembers) -> bool:
+    """Tell whether the store of every voter is on record."""
+    return all(member.store_id for member in voters(members))
+
+
+def quorum_size(members: LogMembers) -> int:
+    """Return how many voters must agree.
+
+    A group is formed by all of its first voters, once: only then is it known
+    which stores are theirs, and a disk lost later can't pass for the old one.
+    """
+    count = len(voters(members))
+    if not is_formed(members):
+        return count
+    return count // 2 + 1
+
+
+def is_quorum(members: LogMembers, node_ids: Collection[str]) -> bool:
+    """Tell whether ``node_ids`` hold enough voters."""
+    agreed = 0
+    for member in voters(members):
+        if member.node_id in node_ids:
+            agreed += 1
+    return agreed > 0 and agreed >= quorum_size(members)
+
+
+def with_stores(members: LogMembers, store_by_id: dict[str, str]) -> LogMembers:
+    """Return the members with their stores on record."""
+    changed = LogMembers()
+    changed.CopyFrom(members)
+    for member in changed.members:
+        member.store_id = store_by_id[member.node_id]
+    return changed
+
+
+def with_learner(members: LogMembers, learner: LogMember) -> LogMembers:
+    """Return the members and a new one that does not vote."""
+    changed = LogMembers()
+    changed.CopyFrom(members)
+    changed.members.append(learner)
+    return changed
+
+
+def with_voter(members: LogMembers, node_id: str) -> LogMembers:
+    """Return the members of which ``node_id`` votes too."""
+    changed = LogMembers()
+    changed.CopyFrom(members)
+    for member in changed.members:
+        if member.node_id == node_id:
+            member.voter = True
+    return changed
+
+
+def without(members: LogMembers, node_id: str) -> LogMembers:
+    """Return the members but one."""
+    changed = LogMembers()
+    for member in members.members:
+        if member.node_id != node_id:
+            changed.members.append(member)
+    return changed
--- /dev/null
+++ b/verbenathread/consensus/segments.py
@@ -0,0 +1,170 @@
+"""The log, the term and the vote in segment files.
+
+They share one sequence of records, so that each change costs one sync. One
+append is one record: when a crash tears it, no whole record can follow, and
+a whole record after a bad one means damage.
+"""
+
+from verbenathread.consensus import records
+from verbenathread.consensus.folder import REPLACE, Folder
+from verbenathread.consensus.replay import Replay, Segment
+from verbenathread.consensus.storage import Ballot
+from verbenathread.exceptions import StorageError
+from verbenathread.schema.consensus_pb2 import (
+    DiskRecord,
+    SavedBallot,
+    SegmentHead,
+    SyncedMark,
+)
+
+_PREFIX = 'segment-'
+_MARK = 'mark'
+# A segment is closed once it is this long.
+_SEGMENT_BYTES = 0x1000000
+
+
+class SegmentLog:
+    """Appends records and reads them back after a restart."""
+
+    def __init__(self, folder: Folder) -> None:
+        """Touch nothing before :meth:`read`."""
+        self._folder = folder
+        self._segments: list[Segment] = []
+        self.replay = Replay()
+
+    def is_empty(self) -> bool:
+        """Tell whether there is no segment at all."""
+        return not self._segments
+
+    async def read(self, names: list[str]) -> None:
+        """Read every segment; cut off an append that a crash tore."""
+        numbers = _segment_numbers(names)
+        mark = self._read_mark(names)
+        if numbers and mark.segment > numbers[-1]:
+            raise self._damage(mark.segment, 0, 'the segment is missing')
+        for number in numbers:
+            if self._segments and number != self._segments[-1].number + 1:
+                raise self._damage(number - 1, 0, 'the segment is missing')
+            synced = mark.length if mark.segment == number else 0
+            self._read_segment(number, synced, is_last=number == numbers[-1])
+        if numbers:
+            # What the last process wrote may still be on its way to the disk.
+            await self._folder.sync(_segment_name(numbers[-1]))
+
+    async def append(self, record: DiskRecord) -> None:
+        """Add one record with one sync."""
+        segment = self._segments[-1]
+        name = _segment_name(segment.number)
+        packed = records.pack(
+            record.SerializeToString(), segment.number, segment.length
+        )
+        self._folder.files.append(name, packed)
+        await self._folder.sync(name)
+        segment.length += len(packed)
+        if record.entries:
+            last = record.entries[-1]
+            segment.last_index = max(segment.last_index, last.index)
+            self.replay.end(last.index, last.term)
+        self._note_synced()
+        if segment.length >= _SEGMENT_BYTES:
+            await self.begin_segment()
+
+    async def begin_segment(self) -> None:
+        """Make a file that says where the log stands."""
+        number = 1
+        if self._segments:
+            number = self._segments[-1].number + 1
+        replay = self.replay
+        head = SegmentHead(
+            base_index=replay.last_index, base_term=replay.last_term
+        )
+        record = DiskRecord(segment=head, ballot=saved_ballot(replay.ballot))
+        packed = records.pack(record.SerializeToString(), number, 0)
+        await self._folder.write_file(_segment_name(number), packed)
+        self._segments.append(Segment(number, len(packed)))
+        self._note_synced()
+
+    async def begin_empty(self, index: int, term: int) -> None:
+        """Begin an empty log after an index, and drop what was before."""
+        self.replay.reset(index, term)
+        await self.begin_segment()
+        for segment in self._segments[:-1]:
+            segment.last_index = 0
+        await self.drop(index)
+
+    async def drop(self, keep_after: int) -> None:
+        """Remove the oldest segments, one by one, so that none is missed."""
+        while len(self._segments) > 1:
+            oldest = self._segments[0]
+            if oldest.last_index > keep_after:
+                return
+            self._folder.files.remove(_segment_name(oldest.number))
+            await self._folder.sync_folder()
+            self._segments.pop(0)
+
+    def _read_segment(self, number: int, synced: int, *, is_last: bool) -> None:
+        name = _segment_name(number)
+        content = self._folder.files.read(name)
+        found = records.scan(content, number)
+        whole = found.valid_length
+        if found.resumes_at >= 0:
+            raise self._damage(
+                number, whole, f'a whole record follows at {found.resumes_at}'
+            )
+        if whole < synced:
+            raise self._damage(number, whole, f'{synced} bytes were synced')
+        if not found.payloads:
+            raise self._damage(number, whole, 'its first record is not whole')
+        if whole < len(content):
+            if not is_last:
+                raise self._damage(number, whole, 'a later segment follows')
+            # The last append was torn by a crash; nobody was told of it.
+            self._folder.files.cut(name, whole)
+        self._take(Segment(number, whole), found.payloads)
+
+    def _take(self, segment: Segment, payloads: list[bytes]) -> None:
+        self._segments.append(segment)
+        for payload in payloads:
+            if not self.replay.take(DiskRecord.FromString(payload), segment):
+                raise self._damage(
+                    segment.number, 0, 'it lacks entries of the log'
+                )
+
+    def _read_mark(self, names: list[str]) -> SyncedMark:
+        mark = SyncedMark()
+        if _MARK not in names:
+            return mark
+        payload = records.unpack(self._folder.files.read(_MARK), 0, 0)
+        if payload is not None:
+            mark.ParseFromString(payload)
+        return mark
+
+    def _note_synced(self) -> None:
+        """Note the synced length, itself unsynced: it may only be too low."""
+        segment = self._segments[-1]
+        mark = SyncedMark(segment=segment.number, length=segment.length)
+        packed = records.pack(mark.SerializeToString(), 0, 0)
+        self._folder.files.overwrite(_MARK, packed)
+
+    def _damage(self, number: int, offset: int, reason: str) -> StorageError:
+        path = self._folder.path(_segment_name(number))
+        return StorageError(
+            f'{path} is damaged at offset {offset}: {reason}. {REPLACE}'
+        )
+
+
+def saved_ballot(ballot: Ballot) -> SavedBallot:
+    """Return a ballot as it is put on the disk."""
+    return SavedBallot(term=ballot.term, vote=ballot.vote)
+
+
+def _segment_numbers(names: list[str]) -> list[int]:
+    numbers = []
+    for name in names:
+        if name.startswith(_PREFIX):
+            numbers.append(int(name.removeprefix(_PREFIX)))
+    return numbers
+
+
+def _segment_name(number: int) -> str:
+    return f'{_PREFIX}{number:016d}'
--- /dev/null
+++ b/verbenathread/consensus/snapshots.py
@@ -0,0 +1,142 @@
+"""Snapshots for members that miss more than the log still holds.
+
+After Raft (Ongaro and Ousterhout 2014, section 7).
+"""
+
+import zlib
+from typing import NamedTuple
+
+from verbenathread.consensus import members as membership
+from verbenathread.consensus.applier import Applier
+from verbenathread.consensus.follower import Follower
+from verbenathread.consensus.state import Progress, ReplicaState
+from verbenathread.consensus.transport import Transport
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema.consensus_pb2 import (
+    Envelope,
+    InstallReply,
+    InstallRequest,
+    LogSnapshot,
+)
+
+_log = get_logger('consensus')
+
+# A member may need longer than an election timeout to sync a snapshot.
+_INSTALL_TIMEOUTS = 5
+
+
+class SentSnapshot(NamedTuple):
+    """The last answer to a snapshot that was sent."""
+
+    snapshot_index: int
+    reply: InstallReply
+
+
+class SnapshotSender:
+    """Sends the state of the leader in chunks."""
+
+    def __init__(
+        self, state: ReplicaState, transport: Transport, applier: Applier
+    ) -> None:
+        """Take snapshots from ``applier``."""
+        self._state = state
+        self._transport = transport
+        self._applier = applier
+
+    async def send(self, progress: Progress, head: Envelope) -> SentSnapshot:
+        """Send a snapshot as of now, until it is installed or refused."""
+        snapshot = self._applier.make_snapshot()
+        image = snapshot.SerializeToString()
+        checksum = zlib.crc32(image)
+        _log.info(
+            'A snapshot is sent.',
+            member=progress.member.node_id,
+            index=snapshot.index,
+        )
+        settings = self._state.settings
+        offset = 0
+        going = True
+        while going:
+            request = InstallRequest(
+                head=head,
+                index=snapshot.index,
+                term=snapshot.term,
+                offset=offset,
+                chunk=image[offset : offset + settings.chunk_bytes],
+                total=len(image),
+                checksum=checksum,
+            )
+            reply = await self._transport.install(
+                membership.peer_of(progress.member),
+                request,
+                settings.election_timeout * _INSTALL_TIMEOUTS,
+            )
+            going = not reply.installed and reply.offset > offset
+            offset = reply.offset
+        return SentSnapshot(snapshot.index, reply)
+
+
+class SnapshotReceiver:
+    """Gathers the chunks of a snapshot and puts it into force."""
+
+    def __init__(
+        self, state: ReplicaState, follower: Follower, applier: Applier
+    ) -> None:
+        """Restore into ``applier``."""
+        self._state = state
+        self._follower = follower
+        self._applier = applier
+        # Which snapshot the chunks belong to.
+        self._key: tuple[str, int, int, int] = ('', 0, 0, 0)
+        self._received = bytearray()
+
+    async def install(self, request: InstallRequest) -> InstallReply:
+        """Take one chunk; with the last one, the snapshot."""
+        state = self._state
+        if not self._follower.listens(request.head):
+            return InstallReply(head=state.head())
+        async with state.lock:
+            if not await self._follower.follow(request.head):
+                return InstallReply(head=state.head())
+            self._gather(request)
+            installed = False
+            if len(self._received) == request.total:
+                installed = await self._finish(request)
+        return InstallReply(
+            head=state.head(),
+            offset=len(self._received),
+            installed=installed,
+        )
+
+    def _gather(self, request: InstallRequest) -> None:
+        head = request.head
+        key = (head.sender, head.term, request.index, request.checksum)
+        if key != self._key:
+            self._key = key
+            self._received.clear()
+        if request.offset == len(self._received):
+            self._received.extend(request.chunk)
+
+    async def _finish(self, request: InstallRequest) -> bool:
+        image = bytes(self._received)
+        self._key = ('', 0, 0, 0)
+        if zlib.crc32(image) != request.checksum:
+            _log.error('A snapshot arrived damaged; it will be sent again.')
+            self._received.clear()
+            return False
+        await self._put_in_force(LogSnapshot.FromString(image))
+        return True
+
+    async def _put_in_force(self, snapshot: LogSnapshot) -> None:
+        state = self._state
+        if snapshot.index <= state.commit_index:
+            # What stands here is as new or newer, and equal up to there.
+            return
+        if state.log.term_at(snapshot.index) == snapshot.term:
+            state.commit_to(snapshot.index)
+            return
+        await state.storage.reset(snapshot)
+        state.log.reset(snapshot)
+        self._applier.restore(snapshot)
+        state.commit_to(snapshot.index)
+        _log.info('A snapshot is in force.', index=snapshot.index)
