--- /dev/null
+++ b/tests/test_consensus_schedule.py
@@ -0,0 +1,31 @@
+"""Property test: no schedule of faults breaks the log's invariants."""
+
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.consensus_schedule import ACTIONS, Step, run_schedule
+
+STEPS = st.lists(
+    st.builds(
+        Step,
+        st.sampled_from(ACTIONS),
+        st.integers(0, 2),
+        st.sampled_from((0, 3, 40, 400, 1500)),
+    ),
+    min_size=10,
+    max_size=40,
+)
+
+
+class ScheduleTest(unittest.TestCase):
+    @settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=60,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(STEPS, st.integers(0, 1 << 30))
+    def test_no_schedule_breaks_an_invariant(self, steps, seed):
+        self.assertEqual(run_schedule(steps, seed), [])
