Add the cell of entries: upstream table, gossip, engine leases

Entries had no way to tell one another of upstreams, nor to agree on one owner for an engine's memory. Ruled out: gossiped renewals (50 records a second to every peer at 100 engines), an owner by hashing alone (two views of who lives give two owners), and leases in control (an hour without it would stop model requests).

With the acceptor's silence after a restart off, with leases counted from the answer, or with a held lease taken for a free one, the property test finds two owners.

--- /dev/null
+++ b/tests/test_membership_engine_leases.py
@@ -0,0 +1,165 @@
+"""Property test of engine leases: never two owners at one moment."""
+
+import random
+import unittest
+from functools import partial
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenathread.membership import wire
+from verbenathread.membership.engine_leases import (
+    DRIFT_PER_MILLE,
+    EngineLeases,
+)
+from verbenathread.membership.lease_acceptor import LeaseAcceptor
+
+IDS = ('a', 'b', 'c')
+ENGINE = 'e1'
+STEP_MS = 50
+STEPS = 900
+
+
+class DriftingClock:
+    """A clock of one node that runs fast or slow within the bound."""
+
+    def __init__(self, world, per_mille, offset):
+        self._world = world
+        self._per_mille = per_mille
+        self._offset = offset
+
+    def now(self):
+        gained = self._world.true_now * self._per_mille // 1000
+        return self._world.true_now + gained + self._offset
+
+    def wall(self):
+        return self.now()
+
+
+class World:
+    """Three nodes whose messages are lost, late, doubled and reordered."""
+
+    def __init__(self, seed, calm=False):
+        self.rng = random.Random(seed)
+        self.calm = calm
+        self.true_now = 0
+        self.in_flight = []
+        self.lives = 0
+        self.clock_by_id = {}
+        self.leases_by_id = {}
+        self.life_by_id = {}
+        self.frozen_until_by_id = dict.fromkeys(IDS, 0)
+        self.loss = 0 if calm else self.rng.choice((0, 1, 4))
+        self.longest_delay = 20 if calm else self.rng.choice((20, 400, 7000))
+        for node_id in IDS:
+            self.clock_by_id[node_id] = DriftingClock(
+                self,
+                self.rng.choice((-DRIFT_PER_MILLE, 0, DRIFT_PER_MILLE)),
+                self.rng.randrange(10**6),
+            )
+            self.restart(node_id)
+
+    def restart(self, node_id):
+        self.lives += 1
+        clock = self.clock_by_id[node_id]
+        acceptor = LeaseAcceptor(clock, self.lives)
+        self.life_by_id[node_id] = self.lives
+        self.leases_by_id[node_id] = EngineLeases(
+            IDS, acceptor, clock, lambda node_id: None, node_id=node_id
+        )
+
+    def owners(self):
+        return [
+            node_id
+            for node_id, leases in self.leases_by_id.items()
+            if leases.holds(ENGINE)
+        ]
+
+    def later(self, action):
+        """Carry out an action after a delay, perhaps never or twice."""
+        for _ in range(self.rng.choice((1, 1, 1, 2))):
+            if self.rng.randrange(10) >= self.loss:
+                delay = self.rng.randrange(1, self.longest_delay)
+                self.in_flight.append((self.true_now + delay, action))
+
+    def advance(self):
+        self.true_now += STEP_MS
+        due = [entry for entry in self.in_flight if entry[0] <= self.true_now]
+        self.in_flight = [entry for entry in self.in_flight if entry not in due]
+        self.rng.shuffle(due)
+        for _, action in due:
+            action()
+        for node_id in IDS:
+            self.run_node(node_id)
+
+    def run_node(self, node_id):
+        if self.true_now < self.frozen_until_by_id[node_id]:
+            return
+        chance = 1000 if self.calm else self.rng.randrange(1000)
+        if chance < 2:
+            self.restart(node_id)
+        elif chance < 7:
+            pause = self.rng.randrange(100, 9000)
+            self.frozen_until_by_id[node_id] = self.true_now + pause
+        elif chance < 12 and self.leases_by_id[node_id].holds(ENGINE):
+            self.leases_by_id[node_id].release(ENGINE)
+        views = (IDS,) if self.calm else ((node_id,), IDS, IDS)
+        alive_ids = frozenset(self.rng.choice(views))
+        self.leases_by_id[node_id].run_step([ENGINE], alive_ids, ())
+        for peer_id in IDS:
+            if peer_id != node_id:
+                self.send(node_id, peer_id)
+
+    def send(self, node_id, peer_id):
+        leases = self.leases_by_id[node_id]
+        life = self.life_by_id[node_id]
+        for ask in leases.take_asks(peer_id):
+            self.later(
+                partial(self.deliver, leases, life, node_id, peer_id, ask)
+            )
+
+    def deliver(self, leases, life, node_id, peer_id, ask):
+        if self.true_now < self.frozen_until_by_id[peer_id]:
+            return
+        peer = self.leases_by_id[peer_id]
+        answer = peer.answer(node_id, life, ask, leases.lease)
+        peer_life = self.life_by_id[peer_id]
+
+        def reply():
+            awake = self.true_now >= self.frozen_until_by_id[node_id]
+            if self.leases_by_id[node_id] is leases and awake:
+                leases.absorb(peer_id, peer_life, ask, answer)
+
+        self.later(reply)
+
+
+class EngineLeaseTest(unittest.TestCase):
+    @settings(max_examples=120, deadline=None, derandomize=True)
+    @given(st.integers(min_value=0, max_value=2**32))
+    def test_never_two_owners(self, seed):
+        world = World(seed)
+        for _ in range(STEPS):
+            world.advance()
+            owners = world.owners()
+            self.assertLessEqual(len(owners), 1, (seed, world.true_now))
+
+    def test_a_calm_cell_keeps_one_owner(self):
+        """The invariant is not met by nobody ever owning anything."""
+        world = World(seed=1, calm=True)
+        owned = 0
+        for _ in range(STEPS):
+            world.advance()
+            owned += len(world.owners())
+        self.assertGreater(owned, STEPS * 4 // 5)
+
+
+class WireTest(unittest.TestCase):
+    def test_a_proposal_of_another_life_is_not_sent(self):
+        leases = World(1).leases_by_id['a']
+        leases.run_step([ENGINE], frozenset('a'), ())
+        asks = leases.take_asks('b')
+        self.assertEqual(wire.ordered_asks(asks, 7), asks)
+        stale = [
+            ask._replace(step=type(ask.step).PROPOSE, life=6) for ask in asks
+        ]
+        self.assertEqual(wire.ordered_asks(stale, 7), ())
--- /dev/null
+++ b/verbenathread/membership/cell.py
@@ -0,0 +1,324 @@
+"""One node of a cell: a task for each peer and one for leases.
+
+Each peer's task sends a message at least once a second, and at once when
+there is news or a lease to ask for; the reply confirms it. The same message
+carries upstream records, questions about renewals and engine leases.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.exceptions import UnavailableError
+from verbenathread.membership import wire
+from verbenathread.membership.engine_leases import EngineLeases
+from verbenathread.membership.gossip import Gossip
+from verbenathread.membership.lease_acceptor import (
+    LONGEST_LEASE_MS,
+    LeaseAcceptor,
+)
+from verbenathread.membership.peer_view import PeerViews
+from verbenathread.membership.upstream_leases import UpstreamLeases
+from verbenathread.membership.upstreams import UpstreamTable
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import peer_pb2
+from verbenathread.types import (
+    Address,
+    Millis,
+    NodeId,
+    UpstreamId,
+    UpstreamKind,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+# A peer without news still gets a message this often.
+IDLE_MS = 1000
+# Time that a peer has to reply.
+EXCHANGE_MS = 1000
+# Pause after a failed exchange; it doubles up to the idle time.
+_FIRST_RETRY_MS = 50
+# Messages to one peer are at least this far apart, to gather news.
+_GATHER_MS = 5
+# How often leases are looked at.
+_LEASE_STEP_MS = 200
+# How long a leave waits for other entries.
+_LEAVE_MS = 2500
+_LEAVE_POLL_MS = 20
+
+_NO_ADDRESS: Final = Address('', 0)
+
+_log = get_logger('membership')
+
+
+class PeerUnreachableError(UnavailableError):
+    """A peer did not reply in time, or not at all."""
+
+
+class PeerTransport(Protocol):
+    """Carries a message to one peer and brings its reply."""
+
+    async def exchange(
+        self, peer_id: NodeId, message: peer_pb2.PeerMessage
+    ) -> peer_pb2.PeerReply:
+        """Return the reply, or raise :class:`PeerUnreachableError`."""
+
+
+class NodeIdentity(NamedTuple):
+    """Who a node is; the incarnation grows with each start."""
+
+    node_id: NodeId
+    incarnation: int
+    # All nodes of the cell, this one included.
+    cell_ids: tuple[NodeId, ...]
+
+
+class Cell:
+    """Upstreams, living peers and engine leases, as one node sees them.
+
+    All methods but the reads of :attr:`table` run on one event loop.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        transport: PeerTransport,
+        clock: Clock,
+        lease_of: Callable[[str], Millis],
+        *,
+        lease: Millis = LONGEST_LEASE_MS,
+    ) -> None:
+        """Take what carries messages, and the upstream lease of a service."""
+        self.identity = identity
+        self.table = UpstreamTable()
+        self.views = PeerViews(identity.node_id, identity.cell_ids)
+        self.stopping = False
+        acceptor = LeaseAcceptor(clock, identity.incarnation)
+        self.engine_leases = EngineLeases(
+            identity.cell_ids,
+            acceptor,
+            clock,
+            self._wake,
+            node_id=identity.node_id,
+            lease=lease,
+        )
+        self._clock = clock
+        self._transport = transport
+        self._upstream_leases = UpstreamLeases(
+            identity.node_id, len(identity.cell_ids), self.table, lease_of
+        )
+        self._gossip = Gossip(self.table, self.views.by_id, self._wake)
+        self._event_by_peer = {
+            peer_id: asyncio.Event() for peer_id in self.views.by_id
+        }
+        self._questions: tuple[int, ...] = ()
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
+
+    def start(self) -> None:
+        """Start one task for each peer and one for leases."""
+        links = [
+            asyncio.create_task(self._link(peer_id))
+            for peer_id in self.views.by_id
+        ]
+        leases = asyncio.create_task(self._watch_leases())
+        self._tasks = (*links, leases)
+
+    async def stop(self) -> None:
+        """Hand the leases over, tell the peers, and end all tasks."""
+        self.stopping = True
+        self.engine_leases.release_all()
+        for peer_id in self.views.by_id:
+            self._wake(peer_id)
+        await asyncio.sleep(seconds(IDLE_MS // 2))
+        await self.close()
+
+    async def close(self) -> None:
+        """End all tasks and tell nobody."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = ()
+
+    def announce(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Take an announcement or a renewal; return what holds now."""
+        now = self._clock.now()
+        if self.table.announce(record, now):
+            self._gossip.spread(record.upstream_id)
+        held = self.table.get(record.upstream_id) or record
+        if held.incarnation == record.incarnation:
+            self._upstream_leases.heard(record.upstream_id, now)
+        return held
+
+    async def leave(self, upstream_id: UpstreamId, incarnation: int) -> bool:
+        """Take a leave; True once a majority of living peers has it."""
+        held = self.table.get(upstream_id)
+        if held is not None and held.incarnation > incarnation:
+            return True
+        if held is None or held.incarnation < incarnation:
+            held = _unknown_record(upstream_id, incarnation)
+        if held.state < UpstreamState.LEAVING:
+            self._retire(held, UpstreamState.LEAVING)
+        return await self._spread_enough(upstream_id)
+
+    def answer(self, message: peer_pb2.PeerMessage) -> peer_pb2.PeerReply:
+        """Take a peer's message and return the reply."""
+        now = self._clock.now()
+        reply = peer_pb2.PeerReply(
+            number=message.number,
+            node_id=self.identity.node_id,
+            incarnation=self.identity.incarnation,
+            now_ms=now,
+            stopping=self.stopping,
+        )
+        view = self.views.by_id.get(message.node_id)
+        if view is None:
+            raise PeerUnreachableError(
+                f'{message.node_id} is not in the cell of this entry: '
+                + 'list the same entries under [entry] cell on every VM'
+            )
+        if not view.heard(message.incarnation, message.stopping, now):
+            raise PeerUnreachableError(
+                f'{message.node_id} sends as a former incarnation: stop the '
+                + 'older process of the two that share this name'
+            )
+        self._gossip.answer(message.node_id, message, reply, now)
+        for upstream_hash in message.heard_asks:
+            age = self._upstream_leases.age(upstream_hash, now)
+            reply.heard_ages.append(0 if age is None else age + 1)
+        wire.put_answers(
+            reply,
+            [
+                self.engine_leases.answer(
+                    message.node_id, message.incarnation, ask, message.lease_ms
+                )
+                for ask in wire.asks_from(message)
+            ],
+        )
+        return reply
+
+    def engine_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the engines that are not gone."""
+        return tuple(
+            record.upstream_id
+            for record in self.table
+            if record.kind is UpstreamKind.ENGINE
+            and record.state is not UpstreamState.GONE
+        )
+
+    def serving_ids(self) -> frozenset[NodeId]:
+        """Return the living nodes that do not stop, this one included."""
+        serving = self.views.serving_ids(self._clock.now())
+        return serving if self.stopping else serving | {self.identity.node_id}
+
+    def _wake(self, peer_id: NodeId) -> None:
+        self._event_by_peer[peer_id].set()
+
+    def _retire(self, record: UpstreamRecord, state: UpstreamState) -> None:
+        if self.table.retire(record, state, self._clock.now()):
+            self._gossip.spread(record.upstream_id)
+
+    async def _spread_enough(self, upstream_id: UpstreamId) -> bool:
+        if not self.views.by_id:
+            return True
+        limit = self._clock.now() + _LEAVE_MS
+        while self._clock.now() < limit:
+            alive_ids = self.views.alive_ids(self._clock.now())
+            confirmed = self._gossip.confirmed_ids(upstream_id) & alive_ids
+            if len(confirmed) > len(alive_ids) // 2:
+                return True
+            await asyncio.sleep(seconds(_LEAVE_POLL_MS))
+        return False
+
+    async def _link(self, peer_id: NodeId) -> None:
+        number = 0
+        pause = _FIRST_RETRY_MS
+        while True:
+            number += 1
+            try:
+                await self._exchange(peer_id, number)
+            except PeerUnreachableError as error:
+                if pause == _FIRST_RETRY_MS:
+                    _log.info('A peer is out of reach.', why=str(error))
+                await asyncio.sleep(seconds(pause))
+                pause = min(pause * 2, IDLE_MS)
+                continue
+            pause = _FIRST_RETRY_MS
+            await self._wait_for_news(peer_id)
+
+    async def _exchange(self, peer_id: NodeId, number: int) -> None:
+        view = self.views.by_id[peer_id]
+        sent_at = self._clock.now()
+        self._event_by_peer[peer_id].clear()
+        message = peer_pb2.PeerMessage(
+            number=number,
+            node_id=self.identity.node_id,
+            incarnation=self.identity.incarnation,
+            lease_ms=self.engine_leases.lease,
+            stopping=self.stopping,
+        )
+        self._gossip.compose(peer_id, message)
+        message.heard_asks.extend(self._questions)
+        asks = wire.ordered_asks(
+            self.engine_leases.take_asks(peer_id), view.incarnation
+        )
+        wire.put_asks(message, asks, view.incarnation)
+        try:
+            async with asyncio.timeout(seconds(EXCHANGE_MS)):
+                reply = await self._transport.exchange(peer_id, message)
+        except TimeoutError:
+            raise PeerUnreachableError(
+                f'{peer_id} did not reply in time: see whether it runs'
+            ) from None
+        now = self._clock.now()
+        if not view.heard(reply.incarnation, reply.stopping, now):
+            return
+        view.note_clock(sent_at, reply.now_ms)
+        self._gossip.absorb(peer_id, message, reply, now)
+        self._upstream_leases.absorb(
+            peer_id, wire.heard_from(message, reply), sent_at
+        )
+        for ask, answer in zip(asks, wire.answers_from(reply), strict=True):
+            self.engine_leases.absorb(peer_id, reply.incarnation, ask, answer)
+
+    async def _wait_for_news(self, peer_id: NodeId) -> None:
+        event = self._event_by_peer[peer_id]
+        try:
+            async with asyncio.timeout(seconds(IDLE_MS)):
+                await event.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(seconds(_GATHER_MS))
+
+    async def _watch_leases(self) -> None:
+        while True:
+            now = self._clock.now()
+            alive_ids = self.views.alive_ids(now)
+            self._questions = self._upstream_leases.questions(now, alive_ids)
+            for record in self._upstream_leases.ended(now, alive_ids):
+                _log.info('A lease ended.', upstream=record.upstream_id)
+                self._retire(record, UpstreamState.GONE)
+            self.table.forget_gone(now)
+            self.engine_leases.run_step(
+                self.engine_ids(),
+                self.serving_ids(),
+                self.views.settled_ids(now),
+            )
+            await asyncio.sleep(seconds(_LEASE_STEP_MS))
+
+
+def _unknown_record(
+    upstream_id: UpstreamId, incarnation: int
+) -> UpstreamRecord:
+    """Return a record for an upstream that leaves before it was known."""
+    return UpstreamRecord(
+        upstream_id=upstream_id,
+        incarnation=incarnation,
+        state=UpstreamState.READY,
+        version=0,
+        service='',
+        kind=UpstreamKind.PLAIN,
+        address=_NO_ADDRESS,
+        data_centre='',
+        memory_tokens=0,
+    )
--- /dev/null
+++ b/verbenathread/membership/gossip.py
@@ -0,0 +1,135 @@
+"""Spread of upstream records between the entries of a cell.
+
+Each node keeps, for each peer, the identifiers of records that the peer has
+not confirmed yet. A message carries those records; its reply confirms them,
+so that a lost message delays news and never stalls it. Whoever hears news
+passes it on. Digests travel with each message; when two stay unequal, the
+nodes compare the ranks of all their records (anti-entropy, Demers et al.
+1987).
+"""
+
+from collections.abc import Callable, Iterable
+
+from verbenathread.membership import wire
+from verbenathread.membership.upstreams import UpstreamTable
+from verbenathread.schema import peer_pb2
+from verbenathread.types import Millis, NodeId, UpstreamId, UpstreamRecord
+
+# Most records in one message.
+_BATCH = 200
+# Replies with another digest, and nothing to send, before ranks are compared.
+_UNEQUAL_REPLIES = 2
+
+
+class _PeerState:
+    """What one peer has not confirmed, and how its digest compares."""
+
+    def __init__(self) -> None:
+        self.pending: dict[UpstreamId, None] = {}
+        self.unequal_replies = 0
+
+
+class Gossip:
+    """News for each peer, and what their messages bring."""
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        peer_ids: Iterable[NodeId],
+        wake: Callable[[NodeId], None],
+    ) -> None:
+        """Take the table; ``wake`` is told which peer has news waiting."""
+        self._table = table
+        self._wake = wake
+        self._state_by_peer = {peer_id: _PeerState() for peer_id in peer_ids}
+
+    def spread(self, upstream_id: UpstreamId) -> None:
+        """Queue one record for every peer."""
+        for peer_id, state in self._state_by_peer.items():
+            state.pending[upstream_id] = None
+            self._wake(peer_id)
+
+    def confirmed_ids(self, upstream_id: UpstreamId) -> frozenset[NodeId]:
+        """Return the peers that have the record as it stands here."""
+        return frozenset(
+            peer_id
+            for peer_id, state in self._state_by_peer.items()
+            if upstream_id not in state.pending
+        )
+
+    def has_news(self, peer_id: NodeId) -> bool:
+        """Tell whether something waits for a peer."""
+        return bool(self._state_by_peer[peer_id].pending)
+
+    def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
+        """Put news, the digest and, if due, all ranks into a message."""
+        state = self._state_by_peer[peer_id]
+        for upstream_id in tuple(state.pending)[:_BATCH]:
+            record = self._table.get(upstream_id)
+            if record is None:
+                state.pending.pop(upstream_id)
+                continue
+            message.news.append(wire.news_of(record))
+        message.digest = self._table.digest()
+        if state.unequal_replies >= _UNEQUAL_REPLIES:
+            state.unequal_replies = 0
+            message.summary.extend(map(wire.wire_key, self._table.summary()))
+
+    def answer(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+        now: Millis,
+    ) -> tuple[UpstreamRecord, ...]:
+        """Take a peer's message and fill the reply; return what was new."""
+        fresh = self._merge(peer_id, message.news, now)
+        if message.summary:
+            ranks = map(wire.key_from, message.summary)
+            differences = self._table.compare(ranks)
+            reply.wanted.extend(differences.newer_there)
+            reply.news.extend(map(wire.news_of, differences.newer_here))
+        reply.digest = self._table.digest()
+        return fresh
+
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+        now: Millis,
+    ) -> tuple[UpstreamRecord, ...]:
+        """Take the reply to a message; return what was new."""
+        state = self._state_by_peer[peer_id]
+        for news in message.news:
+            self._confirm(peer_id, wire.record_of(news))
+        fresh = self._merge(peer_id, reply.news, now)
+        for upstream_id in reply.wanted:
+            if self._table.get(upstream_id) is not None:
+                state.pending[upstream_id] = None
+        if state.pending or reply.digest == self._table.digest():
+            state.unequal_replies = 0
+        else:
+            state.unequal_replies += 1
+        return fresh
+
+    def _merge(
+        self,
+        peer_id: NodeId,
+        messages: Iterable[peer_pb2.UpstreamNews],
+        now: Millis,
+    ) -> tuple[UpstreamRecord, ...]:
+        fresh = []
+        for news in messages:
+            record = wire.record_of(news)
+            if self._table.merge(record, now):
+                fresh.append(record)
+                self.spread(record.upstream_id)
+            self._confirm(peer_id, record)
+        return tuple(fresh)
+
+    def _confirm(self, peer_id: NodeId, record: UpstreamRecord) -> None:
+        """Note that a peer has a record, unless a greater one holds here."""
+        if self._table.get(record.upstream_id) == record:
+            pending = self._state_by_peer[peer_id].pending
+            pending.pop(record.upstream_id, None)
--- /dev/null
+++ b/verbenathread/membership/hashing.py
@@ -0,0 +1,42 @@
+"""Hashes that all entries compute alike."""
+
+import hashlib
+from collections.abc import Iterable
+
+from verbenathread.types import NodeId
+
+_HASH_BYTES = 8
+
+
+def hash64(text: str) -> int:
+    """Return the first 8 bytes of the SHA-256 of ``text`` as an int."""
+    whole = hashlib.sha256(text.encode('utf-8')).digest()
+    return int.from_bytes(whole[:_HASH_BYTES], 'big')
+
+
+def preferred_node(key: str, node_ids: Iterable[NodeId]) -> NodeId:
+    """Return the node that rendezvous hashing (Thaler 1996) gives a key.
+
+    A node that comes or goes moves only the keys that it gains or loses.
+    """
+    return max(
+        node_ids, key=lambda node_id: (hash64(f'{node_id} {key}'), node_id)
+    )
+
+
+class Preferences:
+    """Preferred nodes by key, kept for as long as the nodes stay the same."""
+
+    def __init__(self) -> None:
+        """Start without nodes."""
+        self._node_ids: frozenset[NodeId] = frozenset()
+        self._node_by_key: dict[str, NodeId] = {}
+
+    def node(self, key: str, node_ids: frozenset[NodeId]) -> NodeId:
+        """Return the preferred node of a key."""
+        if node_ids != self._node_ids:
+            self._node_ids = node_ids
+            self._node_by_key.clear()
+        if key not in self._node_by_key:
+            self._node_by_key[key] = preferred_node(key, node_ids)
+        return self._node_by_key[key]
--- /dev/null
+++ b/verbenathread/membership/upstream_leases.py
@@ -0,0 +1,161 @@
+"""Leases of upstreams whose renewals reach any entry behind the balancer.
+
+Renewals are not gossiped. Each entry remembers when it last heard an
+upstream, and one entry, the keeper, asks the others for that moment when its
+own knowledge grows old. It declares the lease ended only when every entry
+that it can reach, and a majority of the cell, answered after the end that
+they heard nothing later. So an entry that is cut off ends no lease.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from verbenathread.membership.hashing import Preferences, hash64
+from verbenathread.membership.upstreams import UpstreamTable
+from verbenathread.types import (
+    Millis,
+    NodeId,
+    UpstreamId,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+# The keeper asks once this share of a lease has passed without a renewal.
+_ASK_AFTER_SHARE = 0.5
+
+
+class Heard(NamedTuple):
+    """What one peer answered about one upstream."""
+
+    upstream_hash: int
+    # Time since the peer last heard the upstream; None if it never did.
+    age: Millis | None
+
+
+class _Watch:
+    """What the keeper knows of the lease of one upstream."""
+
+    def __init__(self, known_at: Millis, incarnation: int) -> None:
+        self.known_at = known_at
+        self.incarnation = incarnation
+        # Peers that answered after the end of the lease, having heard nothing.
+        self.silent_ids: set[NodeId] = set()
+
+    def heard(self, moment: Millis) -> None:
+        """Note when some entry heard the upstream."""
+        if moment > self.known_at:
+            self.known_at = moment
+            self.silent_ids.clear()
+
+
+class UpstreamLeases:
+    """Finds upstreams that stopped renewing, over all entries of a cell."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        cell_size: int,
+        table: UpstreamTable,
+        lease_of: Callable[[str], Millis],
+    ) -> None:
+        """Take the table to watch and the lease of a service in ms."""
+        self._node_id = node_id
+        self._majority = cell_size // 2 + 1
+        self._table = table
+        self._lease_of = lease_of
+        self._heard_at_by_id: dict[UpstreamId, Millis] = {}
+        self._watch_by_id: dict[UpstreamId, _Watch] = {}
+        self._preferences = Preferences()
+
+    def heard(self, upstream_id: UpstreamId, now: Millis) -> None:
+        """Note a renewal that reached this node."""
+        self._heard_at_by_id[upstream_id] = now
+
+    def age(self, upstream_hash: int, now: Millis) -> Millis | None:
+        """Return the time since this node heard an upstream, or None."""
+        record = self._table.by_hash(upstream_hash)
+        if record is None:
+            return None
+        heard_at = self._heard_at_by_id.get(record.upstream_id)
+        return None if heard_at is None else now - heard_at
+
+    def questions(
+        self, now: Millis, alive_ids: frozenset[NodeId]
+    ) -> tuple[int, ...]:
+        """Return the hashes of upstreams to ask every peer about."""
+        hashes = []
+        for record in self._table:
+            watch = self._watch(record, now, alive_ids)
+            if watch is None:
+                continue
+            lease = self._lease_of(record.service)
+            if now - watch.known_at >= lease * _ASK_AFTER_SHARE:
+                hashes.append(hash64(record.upstream_id))
+        return tuple(hashes)
+
+    def absorb(
+        self, peer_id: NodeId, answers: Iterable[Heard], sent_at: Millis
+    ) -> None:
+        """Take a peer's answers to questions sent at ``sent_at``."""
+        for answer in answers:
+            record = self._table.by_hash(answer.upstream_hash)
+            if record is None or record.upstream_id not in self._watch_by_id:
+                continue
+            watch = self._watch_by_id[record.upstream_id]
+            lease = self._lease_of(record.service)
+            if answer.age is not None:
+                watch.heard(sent_at - answer.age)
+            if sent_at >= watch.known_at + lease:
+                watch.silent_ids.add(peer_id)
+
+    def ended(
+        self, now: Millis, alive_ids: frozenset[NodeId]
+    ) -> tuple[UpstreamRecord, ...]:
+        """Return the upstreams whose lease has ended for the whole cell."""
+        return tuple(
+            record
+            for record in self._table
+            if self._has_ended(record, now, alive_ids)
+        )
+
+    def _has_ended(
+        self,
+        record: UpstreamRecord,
+        now: Millis,
+        alive_ids: frozenset[NodeId],
+    ) -> bool:
+        watch = self._watch(record, now, alive_ids)
+        if watch is None:
+            return False
+        if now < watch.known_at + self._lease_of(record.service):
+            return False
+        silent_ids = watch.silent_ids | {self._node_id}
+        if len(silent_ids) < self._majority:
+            return False
+        return silent_ids.issuperset(alive_ids)
+
+    def _watch(
+        self,
+        record: UpstreamRecord,
+        now: Millis,
+        alive_ids: frozenset[NodeId],
+    ) -> _Watch | None:
+        """Return the watch over a record, or None if another keeps it."""
+        upstream_id = record.upstream_id
+        if record.state is UpstreamState.GONE:
+            self._heard_at_by_id.pop(upstream_id, None)
+            self._watch_by_id.pop(upstream_id, None)
+            return None
+        keeper = self._preferences.node(
+            upstream_id, alive_ids | {self._node_id}
+        )
+        if keeper != self._node_id:
+            self._watch_by_id.pop(upstream_id, None)
+            return None
+        watch = self._watch_by_id.get(upstream_id)
+        if watch is None or watch.incarnation != record.incarnation:
+            # A new keeper has heard nothing yet and allows a whole lease.
+            watch = _Watch(now, record.incarnation)
+            self._watch_by_id[upstream_id] = watch
+        watch.heard(self._heard_at_by_id.get(upstream_id, watch.known_at))
+        return watch
