--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small upstreams and an entry with in-memory neighbours, for tests."""
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,276 @@
+"""A model engine: roughly continuous batching, prefix cache, and faults."""
+
+import json
+import threading
+import time
+import zlib
+from urllib.parse import parse_qs
+
+from tests.standins.serving import JsonHandler, serve, serving_parser
+
+_BLOCK = 4096
+_BYTES_PER_TOKEN = 4
+
+
+def token_text(position):
+    """Return the text of the token at ``position``, the same everywhere."""
+    return f'w{position} '
+
+
+class Engine:
+    """State of the engine and its faults, as the options tell."""
+
+    def __init__(self, options):
+        self.options = options
+        self.lock = threading.Lock()
+        self.hold_by_attempt = {}
+        self.prefix_blocks = set()
+        self.events = []
+        self.running = 0
+        self.reports = 0
+        self.kv_by_id = {}
+        self.order = {
+            'fencing': 0,
+            'models': [options.service],
+            'role': 'both',
+        }
+        self.refused_cancels = 0
+        self.generated = 0
+        self.prefill = threading.Lock()
+
+    def open(self, order):
+        """Hold memory for an attempt; False if there is no room."""
+        wanted = order.get('memory_tokens', 0)
+        with self.lock:
+            held = sum(
+                hold['memory_tokens'] for hold in self.hold_by_attempt.values()
+            )
+            if held + wanted > self.options.memory_tokens:
+                return False
+            self.hold_by_attempt[order['attempt_id']] = {
+                'attempt_id': order['attempt_id'],
+                'memory_tokens': wanted,
+                'owner': order['owner'],
+            }
+            return True
+
+    def holds(self, attempt_id):
+        return attempt_id in self.hold_by_attempt
+
+    def close(self, attempt_id):
+        with self.lock:
+            self.hold_by_attempt.pop(attempt_id, None)
+
+    def cancel(self, attempt_id):
+        """Return whether the engine still holds of the attempt."""
+        with self.lock:
+            if self.refused_cancels < self.options.refuse_cancels:
+                self.refused_cancels += 1
+                return attempt_id in self.hold_by_attempt
+            self.hold_by_attempt.pop(attempt_id, None)
+            return False
+
+    def prefilled(self, text):
+        """Wait as long as the part of the prompt takes that is not cached."""
+        fresh = 0
+        running = 0
+        for start in range(0, len(text), _BLOCK):
+            running = zlib.crc32(text[start : start + _BLOCK], running)
+            if running in self.prefix_blocks:
+                continue
+            fresh += min(_BLOCK, len(text) - start)
+            with self.lock:
+                self.prefix_blocks.add(running)
+                self.events.append(
+                    {
+                        'number': len(self.events) + 1,
+                        'event': 'stored',
+                        'prefix_hash': running,
+                        'tokens': (start + _BLOCK) // _BYTES_PER_TOKEN,
+                    }
+                )
+        with self.prefill:
+            time.sleep(fresh / _BYTES_PER_TOKEN / self.options.prefill_rate)
+
+    def load(self):
+        with self.lock:
+            self.reports += 1
+            held = sum(
+                hold['memory_tokens'] for hold in self.hold_by_attempt.values()
+            )
+            return {
+                'number': self.reports,
+                'running': len(self.hold_by_attempt),
+                'waiting': 0,
+                'memory_tokens_free': self.options.memory_tokens - held,
+                'memory_tokens': self.options.memory_tokens,
+                'prefill_backlog': 0,
+                'prefill_rate': self.options.prefill_rate,
+                'decode_rate': self.options.decode_rate,
+                'generated': self.generated,
+            }
+
+    def take_order(self, order):
+        """Return whether the order's fencing number is taken."""
+        with self.lock:
+            checked = self.options.fencing == 'checked'
+            if checked and order['fencing'] < self.order['fencing']:
+                return False
+            self.order['fencing'] = order['fencing']
+            models = self.order['models']
+            subject = order['subject']
+            if order['action'] == 'load' and subject not in models:
+                models.append(subject)
+            if order['action'] == 'unload' and subject in models:
+                models.remove(subject)
+            if order['action'] == 'role':
+                self.order['role'] = subject
+            return True
+
+
+class EngineHandler(JsonHandler):
+    """The engine interface of docs/UPSTREAMS.md."""
+
+    engine: Engine
+
+    def do_GET(self):
+        path, _, query = self.path.partition('?')
+        after = int(parse_qs(query).get('after', ['0'])[0])
+        members_by_path = {
+            '/v1/holds': lambda: {
+                'holds': list(self.engine.hold_by_attempt.values())
+            },
+            '/v1/load': self.engine.load,
+            '/v1/cache-events': lambda: {'events': self.engine.events[after:]},
+            '/v1/orders': lambda: self.engine.order,
+        }
+        members = members_by_path.get(path)
+        exported = self.engine.kv_by_id.get(path)
+        if members is not None:
+            self.reply(members())
+        elif exported is not None:
+            self.reply({'kv': exported})
+        else:
+            self.refuse(404, 'no such path')
+
+    def do_POST(self):
+        if self.path == '/v1/generate':
+            self.generate(self.read_json())
+        elif self.path == '/v1/cancel':
+            attempt_id = self.read_json()['attempt_id']
+            self.reply({'holds': self.engine.cancel(attempt_id)})
+        elif self.path == '/v1/orders':
+            if self.engine.take_order(self.read_json()):
+                self.reply(self.engine.order)
+            else:
+                self.refuse(409, 'old fencing number')
+        elif self.path.startswith('/v1/kv/'):
+            self.engine.kv_by_id[self.path] = self.read_body().decode('latin-1')
+            self.reply({})
+        else:
+            self.refuse(404, 'no such path')
+
+    def generate(self, order):
+        attempt_id = order['attempt_id']
+        options = self.engine.options
+        if options.late:
+            time.sleep(options.late)
+        if not self.engine.open(order):
+            self.refuse(503, 'no memory', (('Retry-After', '1'),))
+            return
+        self.start_lines()
+        try:
+            self.stream(order, attempt_id)
+        finally:
+            # An engine goes on with a stream whose reader has gone, until it
+            # is cancelled: that is what the cancels are for.
+            if options.leak != 'yes':
+                self.engine.close(attempt_id)
+
+    def stream(self, order, attempt_id):
+        options = self.engine.options
+        prompt = str(order.get('prompt') or order.get('messages')).encode()
+        self.engine.prefilled(prompt)
+        position = order['resume_from']['position']
+        end = min(order['max_tokens'], options.answer_tokens)
+        named = attempt_id
+        while position < end:
+            if not self.engine.holds(attempt_id):
+                self.cut()
+                return
+            if position == options.die_at:
+                self.cut()
+                return
+            if position == options.cross_at:
+                named = 'another-attempt'
+            if position == options.skip_at:
+                position += 1
+            self.token(named, position)
+            if position == options.double_at:
+                self.token(named, position)
+            position += 1
+            self.engine.generated += 1
+            if options.decode_rate:
+                time.sleep(1 / options.decode_rate)
+        if not options.truncate:
+            self.line(
+                {
+                    'attempt_id': named,
+                    'finish_reason': 'stop',
+                    'usage': {
+                        'prompt_tokens': len(prompt) // _BYTES_PER_TOKEN,
+                        'output_tokens': end,
+                    },
+                }
+            )
+        self.wfile.write(b'0\r\n\r\n')
+
+    def start_lines(self):
+        self.send_response(200)
+        self.send_header('Content-Type', 'application/x-ndjson')
+        self.send_header('Transfer-Encoding', 'chunked')
+        self.end_headers()
+
+    def token(self, named, position):
+        self.line(
+            {
+                'attempt_id': named,
+                'position': position,
+                'text': token_text(position),
+            }
+        )
+
+    def line(self, members):
+        content = json.dumps(members).encode() + b'\n'
+        self.wfile.write(b'%x\r\n%b\r\n' % (len(content), content))
+
+
+def engine_parser():
+    parser = serving_parser(__doc__)
+    parser.add_argument('--service', default='draft-desk')
+    parser.add_argument('--memory-tokens', type=int, default=400_000)
+    parser.add_argument('--prefill-rate', type=float, default=1e6)
+    parser.add_argument(
+        '--decode-rate', type=float, default=0, help='tokens/s; 0 is at once'
+    )
+    parser.add_argument('--answer-tokens', type=int, default=20)
+    parser.add_argument('--fencing', choices=('checked', 'ignored'))
+    parser.add_argument('--truncate', action='store_true')
+    parser.add_argument('--die-at', type=int, default=-1)
+    parser.add_argument('--cross-at', type=int, default=-1)
+    parser.add_argument('--double-at', type=int, default=-1)
+    parser.add_argument('--skip-at', type=int, default=-1)
+    parser.add_argument('--late', type=float, default=0)
+    parser.add_argument('--refuse-cancels', type=int, default=0)
+    parser.add_argument('--leak', choices=('yes', 'no'), default='no')
+    return parser
+
+
+def main():
+    options = engine_parser().parse_args()
+    handler = type('Handler', (EngineHandler,), {'engine': Engine(options)})
+    serve(handler, options, {'memory_tokens': options.memory_tokens})
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/service.py
@@ -0,0 +1,86 @@
+"""A booking service that counts every run by its key, and has faults."""
+
+import threading
+import time
+
+from tests.standins.serving import JsonHandler, serve, serving_parser
+
+
+class Bookings:
+    """How often each key ran, and the faults still to come."""
+
+    def __init__(self, options):
+        self.options = options
+        self.runs_by_key = {}
+        self.lock = threading.Lock()
+        self.faults_left = options.faults
+
+    def fault(self, name):
+        """Return whether the fault ``name`` is due now."""
+        with self.lock:
+            if self.options.fault != name or not self.faults_left:
+                return False
+            self.faults_left -= 1
+            return True
+
+    def run(self, key):
+        with self.lock:
+            self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+            return self.runs_by_key[key]
+
+
+class BookingHandler(JsonHandler):
+    """POST /holds books; GET /holds tells the runs by key."""
+
+    bookings: Bookings
+
+    def do_GET(self):
+        if self.bookings.fault('drop-get'):
+            self.cut()
+            return
+        self.answer({'runs_by_key': self.bookings.runs_by_key})
+
+    def do_POST(self):
+        self.read_body()
+        if self.bookings.fault('die-before'):
+            self.cut()
+            return
+        if self.bookings.options.slow:
+            time.sleep(self.bookings.options.slow)
+        key = self.headers.get('Idempotency-Key', 'no-key')
+        runs = self.bookings.run(key)
+        if self.bookings.fault('die-after'):
+            self.cut()
+            return
+        self.answer({'booked': key, 'runs': runs}, 201)
+
+    def answer(self, members, status=200):
+        attempt_id = self.headers.get('X-Attempt-Id', '')
+        if self.bookings.fault('cross'):
+            attempt_id = 'another-attempt'
+        self.reply(members, status, (('X-Attempt-Id', attempt_id),))
+
+
+def service_parser():
+    parser = serving_parser(__doc__)
+    parser.add_argument('--service', default='cot-ledger')
+    parser.add_argument('--slow', type=float, default=0)
+    parser.add_argument(
+        '--fault',
+        choices=('none', 'die-before', 'die-after', 'drop-get', 'cross'),
+        default='none',
+    )
+    parser.add_argument('--faults', type=int, default=1)
+    return parser
+
+
+def main():
+    options = service_parser().parse_args()
+    handler = type(
+        'Handler', (BookingHandler,), {'bookings': Bookings(options)}
+    )
+    serve(handler, options, {})
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,121 @@
+"""What the stand-ins share: a threaded HTTP server that speaks JSON."""
+
+import argparse
+import itertools
+import json
+import socket
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.request import Request, urlopen
+
+RENEW_SECONDS = 0.5
+
+
+class JsonHandler(BaseHTTPRequestHandler):
+    """Reads and writes JSON over persistent connections."""
+
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def log_message(self, format, *args):
+        """Stay silent."""
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get('Content-Length', 0)))
+
+    def read_json(self):
+        return json.loads(self.read_body() or b'{}')
+
+    def reply(self, members, status=200, headers=()):
+        content = json.dumps(members).encode()
+        self.send_response(status)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(content)))
+        for name, text in headers:
+            self.send_header(name, text)
+        self.end_headers()
+        self.wfile.write(content)
+
+    def refuse(self, status, message, headers=()):
+        self.reply({'error': {'message': message}}, status, headers)
+
+    def cut(self):
+        """End the connection without an answer."""
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class StandInServer(ThreadingHTTPServer):
+    """Serves each connection in a thread of its own."""
+
+    daemon_threads = True
+    request_queue_size = 1024
+
+    def handle_error(self, request, client_address):
+        """Stay silent when the other side hangs up."""
+
+
+def serving_parser(description) -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument('--listen', default='127.0.0.1:0')
+    parser.add_argument('--entry', help='announce to this entry: IP:PORT')
+    parser.add_argument('--announce-key', default='announce-key')
+    parser.add_argument('--id', default='')
+    parser.add_argument('--incarnation', type=int, default=1)
+    parser.add_argument('--data-centre', default='local')
+    return parser
+
+
+def announcement(options, address, **members):
+    found = {
+        'upstream_id': options.id or f'{options.service}-{address[1]}',
+        'incarnation': options.incarnation,
+        'service': options.service,
+        'address': f'{address[0]}:{address[1]}',
+        'data_centre': options.data_centre,
+    }
+    found.update(members)
+    return found
+
+
+def serve(handler, options, members):
+    """Serve until the process is ended; the address goes out as one line."""
+    host, _, port = options.listen.rpartition(':')
+    server = StandInServer((host, int(port)), handler)
+    found = announcement(options, server.server_address, **members)
+    sys.stdout.write(json.dumps(found) + '\n')
+    sys.stdout.flush()
+    if options.entry:
+        threading.Thread(
+            target=_renew, args=(options, found), daemon=True
+        ).start()
+    server.serve_forever()
+
+
+def tell_entry(entry, verb, key, members):
+    """Announce, renew or leave at an entry; returns its status."""
+    request = Request(
+        f'http://{entry}/upstreams/v1/{verb}',
+        json.dumps(members).encode(),
+        {'Authorization': f'Bearer {key}'},
+    )
+    try:
+        with urlopen(request, timeout=2) as answer:
+            return answer.status
+    except OSError as exc:
+        return getattr(exc, 'code', 0)
+
+
+def _renew(options, members):
+    verb = 'announce'
+    entries = options.entry.split(',')
+    for turn in itertools.count():
+        # The next entry is tried when one does not answer.
+        status = tell_entry(
+            entries[turn % len(entries)], verb, options.announce_key, members
+        )
+        if status == 200:
+            verb = 'renew'
+        time.sleep(RENEW_SECONDS)
--- /dev/null
+++ b/verbenathread/entry/announce_service.py
@@ -0,0 +1,171 @@
+"""POST /upstreams/v1/announce, /renew and /leave."""
+
+import hashlib
+import hmac
+import http
+import ipaddress
+import json
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from verbenathread.entry.exchange import Exchange
+from verbenathread.entry.ports import SharedSettings, Upstreams
+from verbenathread.entry.replies import CallerError
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import settings_pb2
+from verbenathread.types import (
+    Address,
+    UpstreamKind,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+_RETRY_AFTER_MS = 1000
+_LEAST_PER_LEASE = 3
+_MOST_PORT = 65535
+_ROLES = frozenset(('prefill', 'decode', 'both'))
+_TYPE_BY_MEMBER: Mapping[str, type] = MappingProxyType(
+    {'upstream_id': str, 'incarnation': int, 'service': str}
+)
+
+_log = get_logger('upstreams')
+
+
+class AnnounceService:
+    """Takes what upstreams say of themselves."""
+
+    def __init__(self, settings: SharedSettings, upstreams: Upstreams) -> None:
+        """Check against ``settings`` and tell ``upstreams``."""
+        self._settings = settings
+        self._upstreams = upstreams
+
+    def announce(self, exchange: Exchange) -> None:
+        """Take an announcement or a renewal; answer with the lease."""
+        members = _members(exchange)
+        service = self._authenticated(exchange, members)
+        record = _record(members, service)
+        held = self._upstreams.announce(record)
+        if held.incarnation != record.incarnation or (
+            held.state != UpstreamState.READY
+        ):
+            raise CallerError(
+                http.HTTPStatus.CONFLICT,
+                'outdated_incarnation',
+                f'Incarnation {held.incarnation} of this upstream is known '
+                f'as {held.state.name.lower()}; announce with a greater one.',
+            )
+        _reply(
+            exchange,
+            {
+                'state': held.state.name.lower(),
+                'incarnation': held.incarnation,
+                'lease_ms': service.lease,
+                'renew_every_ms': service.lease // _LEAST_PER_LEASE,
+            },
+        )
+
+    def leave(self, exchange: Exchange) -> None:
+        """Take a leave; answer once other entries have it too."""
+        members = _members(exchange)
+        self._authenticated(exchange, members)
+        upstream_id = members['upstream_id']
+        spread = self._upstreams.leave(upstream_id, members['incarnation'])
+        _log.info('An upstream leaves.', upstream=upstream_id, spread=spread)
+        if not spread:
+            raise CallerError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'leave_not_spread',
+                'This entry gives the upstream no new work, but could not '
+                'tell other entries yet; send the leave again.',
+                retry_after=_RETRY_AFTER_MS,
+            )
+        _reply(exchange, {'state': 'leaving'})
+
+    def _authenticated(
+        self, exchange: Exchange, members: Mapping[str, Any]
+    ) -> settings_pb2.ServiceSettings:
+        if self._settings.revision() == 0:
+            raise CallerError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'no_settings',
+                'The entry has no shared settings yet; announce again.',
+                retry_after=_RETRY_AFTER_MS,
+            )
+        service = self._settings.service(members['service'])
+        digest = hashlib.sha256(exchange.bearer_key().encode()).hexdigest()
+        wanted = '' if service is None else service.announce_key_sha256
+        # An unknown service is answered like a wrong key.
+        if service is None or not hmac.compare_digest(digest, wanted):
+            raise CallerError(
+                http.HTTPStatus.UNAUTHORIZED,
+                'invalid_announce_key',
+                'The bearer key is not the announce key of this service; '
+                'send the key that the operators gave for it.',
+            )
+        return service
+
+
+def _members(exchange: Exchange) -> dict[str, Any]:
+    try:
+        members = json.loads(exchange.read_body())
+    except (ValueError, RecursionError) as exc:
+        raise _wrong('The body is not JSON; send a JSON object.') from exc
+    if not isinstance(members, dict):
+        raise _wrong('The body is no JSON object; send one.')
+    for name, kind in _TYPE_BY_MEMBER.items():
+        found = members.get(name)
+        if not isinstance(found, kind) or isinstance(found, bool):
+            raise _wrong(f'"{name}" must be of type {kind.__name__}.')
+    if not members['upstream_id'] or members['incarnation'] < 1:
+        raise _wrong('"upstream_id" and "incarnation" must not be empty.')
+    return members
+
+
+def _record(
+    members: Mapping[str, Any], service: settings_pb2.ServiceSettings
+) -> UpstreamRecord:
+    models = members.get('models', [])
+    if not isinstance(models, list):
+        raise _wrong('"models" must be a list of strings.')
+    role = members.get('role', 'both')
+    if role not in _ROLES:
+        raise _wrong('"role" must be prefill, decode or both.')
+    memory = members.get('memory_tokens', 0)
+    if not isinstance(memory, int) or memory < 0:
+        raise _wrong('"memory_tokens" must be a whole number.')
+    return UpstreamRecord(
+        members['upstream_id'],
+        members['incarnation'],
+        UpstreamState.READY,
+        0,
+        members['service'],
+        UpstreamKind(service.kind),
+        _address(members.get('address')),
+        str(members.get('data_centre', '')),
+        memory,
+        tuple(str(model) for model in models),
+        role,
+    )
+
+
+def _address(text: Any) -> Address:
+    host, _, port = str(text).rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError as exc:
+        raise _wrong('"address" must be an IP number and a port.') from exc
+    if not 0 < number <= _MOST_PORT:
+        raise _wrong('"address" must hold a port from 1 to 65535.')
+    return Address(host, number)
+
+
+def _wrong(message: str) -> CallerError:
+    return CallerError(
+        http.HTTPStatus.BAD_REQUEST, 'invalid_announcement', message
+    )
+
+
+def _reply(exchange: Exchange, members: Mapping[str, Any]) -> None:
+    exchange.reply(http.HTTPStatus.OK, json.dumps(members).encode())
--- /dev/null
+++ b/verbenathread/entry/answer_format.py
@@ -0,0 +1,131 @@
+"""Answers of a model in the shape of chat completions and completions."""
+
+import json
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from verbenathread.entry.engine_client import Finish, Piece
+from verbenathread.entry.model_call import ModelCall
+
+EVENT_STREAM_TYPE = 'text/event-stream'
+_END = b'data: [DONE]\n\n'
+_MARK = '@'
+_FINISH_REASON = 'finish_reason'
+
+
+class AnswerFormat(NamedTuple):
+    """The parts of one answer that stay the same from token to token."""
+
+    call: ModelCall
+    answer_id: str
+    # Seconds since the epoch.
+    created: int
+    before_text: bytes
+    after_text: bytes
+
+    @classmethod
+    def of_call(
+        cls, call: ModelCall, request_id: str, created: int
+    ) -> 'AnswerFormat':
+        """Prepare the answer to one call."""
+        prefix = 'chatcmpl' if call.chat else 'cmpl'
+        answer_id = f'{prefix}-{request_id}'
+        choice: dict[str, Any] = {'index': 0, _FINISH_REASON: None}
+        if call.chat:
+            choice['delta'] = {'content': _MARK}
+        else:
+            choice['text'] = _MARK
+        fields = _fields(call, answer_id, created, stream=True)
+        # The mark comes last, so that no other member can hold it before.
+        fields['choices'] = [choice]
+        before, _, after = (
+            json.dumps(fields).encode().rpartition(f'"{_MARK}"'.encode())
+        )
+        return cls(
+            call,
+            answer_id,
+            created,
+            b'data: %b' % before,
+            b'%b\n\n' % after,
+        )
+
+    def opening(self) -> bytes:
+        """Return what a stream begins with."""
+        if not self.call.chat:
+            return b''
+        return self._event({'role': 'assistant', 'content': ''}, None)
+
+    def events(self, pieces: Sequence[Piece]) -> bytes:
+        """Return pieces as server-sent events, one for each."""
+        parts = []
+        for piece in pieces:
+            parts.append(self.before_text)
+            parts.append(json.dumps(piece.text).encode())
+            parts.append(self.after_text)
+        return b''.join(parts)
+
+    def ending(self, finish: Finish) -> bytes:
+        """Return what a whole stream ends with."""
+        blocks = [self._event({}, finish.reason)]
+        if self.call.usage_wanted:
+            fields = _fields(
+                self.call, self.answer_id, self.created, stream=True
+            )
+            fields['choices'] = []
+            fields['usage'] = _usage(finish)
+            blocks.append(b'data: %b\n\n' % json.dumps(fields).encode())
+        blocks.append(_END)
+        return b''.join(blocks)
+
+    def whole(self, text: str, finish: Finish) -> bytes:
+        """Return an answer that is not streamed."""
+        fields = _fields(self.call, self.answer_id, self.created, stream=False)
+        choice: dict[str, Any] = {
+            'index': 0,
+            _FINISH_REASON: finish.reason,
+            'logprobs': None,
+        }
+        if self.call.chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        fields['choices'] = [choice]
+        fields['usage'] = _usage(finish)
+        return json.dumps(fields).encode()
+
+    def _event(self, delta: dict[str, Any], reason: str | None) -> bytes:
+        fields = _fields(self.call, self.answer_id, self.created, stream=True)
+        choice: dict[str, Any] = {'index': 0, _FINISH_REASON: reason}
+        if self.call.chat:
+            choice['delta'] = delta
+        else:
+            choice['text'] = ''
+        fields['choices'] = [choice]
+        return b'data: %b\n\n' % json.dumps(fields).encode()
+
+
+def error_event(content: bytes) -> bytes:
+    """Return an error in the midst of a stream, as clients parse it."""
+    return b'data: %b\n\n' % content
+
+
+def _fields(
+    call: ModelCall, answer_id: str, created: int, *, stream: bool
+) -> dict[str, Any]:
+    kind = 'text_completion'
+    if call.chat:
+        kind = 'chat.completion.chunk' if stream else 'chat.completion'
+    return {
+        'id': answer_id,
+        'object': kind,
+        'created': created,
+        'model': call.model,
+    }
+
+
+def _usage(finish: Finish) -> dict[str, int]:
+    return {
+        'prompt_tokens': finish.prompt_tokens,
+        'completion_tokens': finish.output_tokens,
+        'total_tokens': finish.prompt_tokens + finish.output_tokens,
+    }
--- /dev/null
+++ b/verbenathread/entry/bodies.py
@@ -0,0 +1,31 @@
+"""The bytes of request bodies that an entry holds at once."""
+
+import threading
+
+
+class BodyBudget:
+    """A bound on the sum of buffered bodies, given out without waiting."""
+
+    def __init__(self, most_bytes: int) -> None:
+        """Allow ``most_bytes`` over all requests."""
+        self._most = most_bytes
+        self._held = 0
+        self._lock = threading.Lock()
+
+    @property
+    def held(self) -> int:
+        """Return the bytes held now."""
+        return self._held
+
+    def take(self, amount: int) -> bool:
+        """Hold ``amount`` more bytes, or return False at once."""
+        with self._lock:
+            if self._held + amount > self._most:
+                return False
+            self._held += amount
+            return True
+
+    def give_back(self, amount: int) -> None:
+        """Hold ``amount`` bytes less."""
+        with self._lock:
+            self._held -= amount
--- /dev/null
+++ b/verbenathread/entry/callers_side.py
@@ -0,0 +1,148 @@
+"""Everything of an entry that speaks HTTP with callers and upstreams.
+
+It is wired from ports only, so it can be embedded with other neighbours.
+"""
+
+from typing import NamedTuple
+
+from verbenathread.clock import Clock, SystemClock
+from verbenathread.entry.announce_service import AnnounceService
+from verbenathread.entry.application import Application, Services
+from verbenathread.entry.bodies import BodyBudget
+from verbenathread.entry.caller_watch import CallerWatch
+from verbenathread.entry.connections import ConnectionPool
+from verbenathread.entry.engine_client import EngineClient, Owner
+from verbenathread.entry.engine_http import HttpEngineClient
+from verbenathread.entry.exchange import Limits, ServerContext
+from verbenathread.entry.http_server import CallerServer
+from verbenathread.entry.model_service import ModelParts, ModelService
+from verbenathread.entry.plain_exchange import PlainClient
+from verbenathread.entry.plain_service import PlainParts, PlainService
+from verbenathread.entry.ports import (
+    Claims,
+    Reservations,
+    SharedSettings,
+    Upstreams,
+)
+from verbenathread.entry.reaper import Reaper
+from verbenathread.entry.relay import RelayPorts
+from verbenathread.entry.settler import Settler
+from verbenathread.observability.metrics import EntryMetrics
+from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
+from verbenathread.types import Address, Millis
+
+
+class Ports(NamedTuple):
+    """The neighbours of the callers' side."""
+
+    settings: SharedSettings
+    upstreams: Upstreams
+    reservations: Reservations
+    claims: Claims
+
+
+class CallersSide:
+    """Serves callers and upstreams until it is stopped."""
+
+    def __init__(
+        self,
+        listen: Address,
+        ports: Ports,
+        owner: Owner,
+        limits: Limits,
+        metrics: EntryMetrics,
+        *,
+        clock: Clock | None = None,
+        engine_client: EngineClient | None = None,
+    ) -> None:
+        """Wire the parts; nothing runs before :meth:`start`."""
+        clock = clock or SystemClock()
+        self._clock = clock
+        self._pool = ConnectionPool(clock)
+        self.engine_client = engine_client or HttpEngineClient(
+            self._pool, clock
+        )
+        self.watch = CallerWatch()
+        self.reaper = Reaper(
+            self.engine_client,
+            ports.reservations,
+            ports.upstreams,
+            owner,
+            clock,
+        )
+        self.settler = Settler(ports.claims, clock)
+        self.budget = BodyBudget(limits.buffered_bytes)
+        self._application = Application(
+            self._services(ports, owner, metrics), metrics
+        )
+        self.server = CallerServer(
+            listen,
+            ServerContext(limits, self.budget, self._application, clock),
+        )
+        self._watch_metrics(ports, metrics)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.watch.start()
+        self.reaper.start()
+        self.settler.start()
+        self.server.start()
+
+    def refuse_new_work(self) -> None:
+        """Refuse new requests as not run; those in progress go on."""
+        self._application.stopping = True
+
+    def drain(self, limit: Millis) -> bool:
+        """Wait for requests in progress; False if some are left."""
+        return self.server.wait_idle(limit)
+
+    def stop(self, limit: Millis) -> None:
+        """Stop serving; flush cancels and outcomes for up to ``limit`` ms."""
+        deadline = self._clock.now() + limit
+        self.server.stop()
+        self.settler.stop(max(0, deadline - self._clock.now()))
+        self.reaper.stop(max(0, deadline - self._clock.now()))
+        self.watch.stop()
+        self._pool.close()
+
+    def _services(
+        self, ports: Ports, owner: Owner, metrics: EntryMetrics
+    ) -> Services:
+        relay = RelayPorts(
+            self.engine_client,
+            ports.reservations,
+            ports.upstreams,
+            self.reaper,
+            owner,
+            self._clock,
+        )
+        models = ModelParts(
+            ports.settings,
+            relay,
+            self.watch,
+            metrics,
+            TokenEstimator(),
+            OutputEstimator(),
+            self._clock,
+        )
+        plain = PlainParts(
+            ports.settings,
+            ports.upstreams,
+            ports.claims,
+            self.settler,
+            PlainClient(self._pool),
+            self.watch,
+            metrics,
+            owner,
+            self._clock,
+        )
+        return Services(
+            ModelService(models),
+            PlainService(plain),
+            AnnounceService(ports.settings, ports.upstreams),
+        )
+
+    def _watch_metrics(self, ports: Ports, metrics: EntryMetrics) -> None:
+        metrics.buffered.set_function(lambda: self.budget.held)
+        metrics.revision.set_function(ports.settings.revision)
+        metrics.unconfirmed_cancels.set_function(lambda: self.reaper.pending)
--- /dev/null
+++ b/verbenathread/entry/connections.py
@@ -0,0 +1,210 @@
+"""HTTP connections to upstreams, reused only after a clean exchange."""
+
+import socket
+import threading
+from collections import deque
+from collections.abc import Mapping
+from contextlib import suppress
+from http.client import HTTPException
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.exceptions import VerbenathreadError
+from verbenathread.types import Address, Millis
+
+# Longest time in ms to wait for a connection.
+CONNECT_TIMEOUT = 1000
+_MOST_IDLE = 64
+_LEAST_WAIT = 1
+_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+
+
+class ConnectError(VerbenathreadError):
+    """No connection was made, so nothing was sent."""
+
+
+class BrokenExchangeError(VerbenathreadError):
+    """A connection broke after bytes of a request may have gone out."""
+
+
+class UpstreamExchange:
+    """One request that was sent to an upstream, and its answer."""
+
+    def __init__(
+        self,
+        pool: 'ConnectionPool',
+        address: Address,
+        connection: HTTPConnection,
+    ) -> None:
+        """Wrap a connection on which a whole request was sent."""
+        self._pool = pool
+        self._address = address
+        self._connection = connection
+        # Kept apart: the library forgets it when the upstream closes.
+        self._socket = connection.sock
+        self._response: HTTPResponse | None = None
+        self.status = 0
+        self.headers: Mapping[str, str] = {}
+
+    def read_head(self, deadline: Millis) -> None:
+        """Wait for status and headers."""
+        self._pool.bound(self._connection, deadline)
+        try:
+            response = self._connection.getresponse()
+        except _ERRORS as exc:
+            raise BrokenExchangeError(
+                f'The connection to {self._address} broke before an answer.'
+            ) from exc
+        self._response = response
+        self.status = response.status
+        self.headers = response.headers
+
+    def read1(self, most: int, deadline: Millis) -> bytes:
+        """Return what comes next, empty at the end of the answer."""
+        if self._response is None:
+            self.read_head(deadline)
+        assert self._response is not None
+        self._pool.bound(self._connection, deadline)
+        try:
+            return self._response.read1(most)
+        except _ERRORS as exc:
+            raise BrokenExchangeError(
+                f'The answer of {self._address} was cut off.'
+            ) from exc
+
+    def read_all(self, most: int, deadline: Millis) -> bytes:
+        """Return the rest of the answer, at most ``most`` bytes."""
+        blocks = []
+        received = 0
+        block = self.read1(most, deadline)
+        while block:
+            blocks.append(block)
+            received += len(block)
+            if received > most:
+                raise BrokenExchangeError(
+                    f'The answer of {self._address} is over {most} bytes.'
+                )
+            block = self.read1(most, deadline)
+        return b''.join(blocks)
+
+    def interrupt(self) -> None:
+        """Make a read that waits in another thread fail at once."""
+        with suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self, *, clean: bool) -> None:
+        """Reuse the connection only if the whole answer was read."""
+        response = self._response
+        if clean and response is not None and response.closed:
+            if self._connection.sock is not None:
+                self._pool.put_back(self._address, self._connection)
+                return
+        if response is not None:
+            response.close()
+        self._connection.close()
+
+
+class ConnectionPool:
+    """Idle connections by address."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with no connection."""
+        self._clock = clock
+        self._idle_by_address: dict[Address, deque[HTTPConnection]] = {}
+        self._lock = threading.Lock()
+
+    def send(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        *,
+        deadline: Millis,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        fresh: bool = False,
+    ) -> UpstreamExchange:
+        """Send a whole request.
+
+        Raises :class:`ConnectError` if nothing was sent, else
+        :class:`BrokenExchangeError`. A ``fresh`` connection can't break
+        because the upstream had closed it while it was idle.
+        """
+        connection = self.connect(address, deadline, fresh=fresh)
+        self.bound(connection, deadline)
+        try:
+            connection.request(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except _ERRORS as exc:
+            connection.close()
+            raise BrokenExchangeError(
+                f'The connection to {address} broke before an answer.'
+            ) from exc
+        return UpstreamExchange(self, address, connection)
+
+    def connect(
+        self, address: Address, deadline: Millis, *, fresh: bool = False
+    ) -> HTTPConnection:
+        """Return an open connection, an idle one if there is one."""
+        if not fresh:
+            idle = self._take_idle(address)
+            if idle is not None:
+                return idle
+        left = min(deadline - self._clock.now(), CONNECT_TIMEOUT)
+        if left <= 0:
+            raise ConnectError(f'No time is left to connect to {address}.')
+        connection = HTTPConnection(
+            address.host, address.port, timeout=seconds(left)
+        )
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as exc:
+            connection.close()
+            raise ConnectError(f'No connection to {address}.') from exc
+        return connection
+
+    def bound(self, connection: HTTPConnection, deadline: Millis) -> None:
+        """Let the next wait end at the deadline."""
+        left = seconds(max(_LEAST_WAIT, deadline - self._clock.now()))
+        connection.timeout = left
+        if connection.sock is not None:
+            connection.sock.settimeout(left)
+
+    def put_back(self, address: Address, connection: HTTPConnection) -> None:
+        """Keep a connection whose exchange ended cleanly."""
+        with self._lock:
+            idle = self._idle_by_address.setdefault(address, deque())
+            if len(idle) < _MOST_IDLE:
+                idle.append(connection)
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            pools = tuple(self._idle_by_address.values())
+            self._idle_by_address = {}
+        for idle in pools:
+            for connection in idle:
+                connection.close()
+
+    def _take_idle(self, address: Address) -> HTTPConnection | None:
+        while True:
+            with self._lock:
+                idle = self._idle_by_address.get(address)
+                if not idle:
+                    return None
+                connection = idle.pop()
+            # Readable while idle: closed, or bytes that belong to nobody.
+            if connection.is_connected:
+                return connection
+            connection.close()
--- /dev/null
+++ b/verbenathread/entry/engine_http.py
@@ -0,0 +1,214 @@
+"""The engine interface over HTTP, as docs/UPSTREAMS.md describes it."""
+
+import json
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from types import MappingProxyType
+from typing import Any
+from urllib.parse import quote
+
+from verbenathread.clock import Clock
+from verbenathread.entry.connections import (
+    BrokenExchangeError,
+    ConnectError,
+    ConnectionPool,
+    UpstreamExchange,
+)
+from verbenathread.entry.engine_client import (
+    CacheEvent,
+    EngineOrder,
+    GenerateOrder,
+    Hold,
+    LoadReport,
+    OrderState,
+    Owner,
+)
+from verbenathread.entry.engine_errors import (
+    EngineBrokenError,
+    EngineNotRunError,
+)
+from verbenathread.entry.engine_stream import (
+    HttpTokenStream,
+    generate_content,
+    read_ok_head,
+)
+from verbenathread.types import Address, Millis
+
+_MOST_KV_BYTES = 1_073_741_824
+_GET = 'GET'
+_POST = 'POST'
+_JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
+
+
+class HttpEngineClient:
+    """An :class:`EngineClient` over pooled connections."""
+
+    def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
+        """Open connections from ``pool``."""
+        self._pool = pool
+        self._clock = clock
+
+    def generate(
+        self, engine: Address, order: GenerateOrder, reach_by: Millis
+    ) -> HttpTokenStream:
+        """Send the order of an attempt."""
+        exchange = self._send(
+            engine, _POST, '/v1/generate', generate_content(order), reach_by
+        )
+        return HttpTokenStream(exchange, order.attempt_id, engine)
+
+    def cancel(self, engine: Address, attempt_id: str, limit: Millis) -> bool:
+        """Cancel an attempt; return whether the engine still holds of it."""
+        order = {'attempt_id': attempt_id}
+        members = self._call(engine, _POST, '/v1/cancel', limit, order)
+        with _well_formed(engine):
+            return bool(members['holds'])
+
+    def holds(self, engine: Address, limit: Millis) -> tuple[Hold, ...]:
+        """Return what the engine holds."""
+        members = self._call(engine, _GET, '/v1/holds', limit)
+        with _well_formed(engine):
+            return tuple(_hold(held) for held in members['holds'])
+
+    def load(self, engine: Address, limit: Millis) -> LoadReport:
+        """Return the newest load report."""
+        members = self._call(engine, _GET, '/v1/load', limit)
+        with _well_formed(engine):
+            return LoadReport(
+                members['number'],
+                members['running'],
+                members['waiting'],
+                members['memory_tokens_free'],
+                members['memory_tokens'],
+                members['prefill_backlog'],
+                members.get('prefill_rate', 0),
+                members.get('decode_rate', 0),
+            )
+
+    def cache_events(
+        self, engine: Address, after: int, limit: Millis
+    ) -> tuple[CacheEvent, ...]:
+        """Return the cache events numbered above ``after``."""
+        path = f'/v1/cache-events?after={after}'
+        members = self._call(engine, _GET, path, limit)
+        with _well_formed(engine):
+            return tuple(_cache_event(event) for event in members['events'])
+
+    def export_kv(self, engine: Address, kv_id: str, limit: Millis) -> bytes:
+        """Return the exported KV cache of an attempt."""
+        return self._exchange(engine, _GET, _kv_path(kv_id), limit, None)
+
+    def import_kv(
+        self, engine: Address, kv_id: str, content: bytes, limit: Millis
+    ) -> None:
+        """Import an exported KV cache."""
+        self._exchange(engine, _POST, _kv_path(kv_id), limit, content)
+
+    def read_orders(self, engine: Address, limit: Millis) -> OrderState:
+        """Return what the engine was last ordered to be."""
+        members = self._call(engine, _GET, '/v1/orders', limit)
+        with _well_formed(engine):
+            return _order_state(members)
+
+    def order(
+        self, engine: Address, order: EngineOrder, limit: Millis
+    ) -> OrderState:
+        """Give an order and return what the engine reads back."""
+        members = self._call(
+            engine, _POST, '/v1/orders', limit, order._asdict()
+        )
+        with _well_formed(engine):
+            return _order_state(members)
+
+    def _send(
+        self,
+        engine: Address,
+        method: str,
+        path: str,
+        content: bytes | None,
+        deadline: Millis,
+    ) -> UpstreamExchange:
+        try:
+            return self._pool.send(
+                engine,
+                method,
+                path,
+                deadline=deadline,
+                body=content,
+                headers=_JSON_HEADERS,
+            )
+        except ConnectError as exc:
+            raise EngineNotRunError(str(exc)) from exc
+        except BrokenExchangeError as exc:
+            raise EngineBrokenError(str(exc)) from exc
+
+    def _call(
+        self,
+        engine: Address,
+        method: str,
+        path: str,
+        limit: Millis,
+        members: Mapping[str, Any] | None = None,
+    ) -> dict[str, Any]:
+        body = None
+        if members is not None:
+            body = json.dumps(members).encode()
+        content = self._exchange(engine, method, path, limit, body)
+        try:
+            found: dict[str, Any] = json.loads(content)
+        except ValueError as exc:
+            raise EngineBrokenError(f'{engine} sent no JSON.') from exc
+        return found
+
+    def _exchange(
+        self,
+        engine: Address,
+        method: str,
+        path: str,
+        limit: Millis,
+        body: bytes | None,
+    ) -> bytes:
+        deadline = self._clock.now() + limit
+        exchange = self._send(engine, method, path, body, deadline)
+        read_ok_head(exchange, engine, deadline)
+        try:
+            content = exchange.read_all(_MOST_KV_BYTES, deadline)
+        except BrokenExchangeError as exc:
+            exchange.close(clean=False)
+            raise EngineBrokenError(str(exc)) from exc
+        exchange.close(clean=True)
+        return content
+
+
+@contextmanager
+def _well_formed(engine: Address) -> Iterator[None]:
+    """Turn a missing or wrong member into a broken exchange."""
+    try:
+        yield
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise EngineBrokenError(f'{engine} sent a malformed answer.') from exc
+
+
+def _kv_path(kv_id: str) -> str:
+    quoted = quote(kv_id, safe='')
+    return f'/v1/kv/{quoted}'
+
+
+def _hold(members: Mapping[str, Any]) -> Hold:
+    owner = Owner(members['owner']['node'], members['owner']['incarnation'])
+    return Hold(members['attempt_id'], members['memory_tokens'], owner)
+
+
+def _cache_event(members: Mapping[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        members['number'],
+        members['event'] == 'stored',
+        members['prefix_hash'],
+        members['tokens'],
+    )
+
+
+def _order_state(members: Mapping[str, Any]) -> OrderState:
+    return OrderState(
+        members['fencing'], tuple(members['models']), members['role']
+    )
--- /dev/null
+++ b/verbenathread/entry/engine_stream.py
@@ -0,0 +1,182 @@
+"""The streamed answer of an engine: JSON lines, as docs/UPSTREAMS.md says."""
+
+import http
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from verbenathread.clock import MS_PER_SECOND
+from verbenathread.entry.connections import (
+    BrokenExchangeError,
+    UpstreamExchange,
+)
+from verbenathread.entry.engine_client import (
+    Batch,
+    Finish,
+    GenerateOrder,
+    Piece,
+)
+from verbenathread.entry.engine_errors import (
+    EngineBrokenError,
+    EngineNotRunError,
+    EngineRejectedError,
+)
+from verbenathread.types import Address, Millis
+
+_READ_BYTES = 65536
+_MOST_REFUSAL_BYTES = 65536
+_MOST_LINE_BYTES = 1_048_576
+
+
+class HttpTokenStream:
+    """Reads the JSON lines of one attempt."""
+
+    def __init__(
+        self, exchange: UpstreamExchange, attempt_id: str, engine: Address
+    ) -> None:
+        self._exchange = exchange
+        self._attempt_id = attempt_id
+        self._engine = engine
+        self._rest = b''
+        self._opened = False
+        self._finished = False
+
+    def read(self, deadline: Millis) -> Batch:
+        """Wait for the next whole lines."""
+        if not self._opened:
+            read_ok_head(self._exchange, self._engine, deadline)
+            self._opened = True
+        while True:
+            block = self._read_block(deadline)
+            lines = (self._rest + block).split(b'\n')
+            self._rest = lines.pop()
+            if lines:
+                return self._batch(lines, deadline)
+            if len(self._rest) > _MOST_LINE_BYTES:
+                raise EngineBrokenError(f'{self._engine} sent a huge line.')
+
+    def interrupt(self) -> None:
+        """Make a read that waits in another thread fail at once."""
+        self._exchange.interrupt()
+
+    def close(self) -> None:
+        """End the exchange."""
+        self._exchange.close(clean=self._finished)
+
+    def _read_block(self, deadline: Millis) -> bytes:
+        try:
+            block = self._exchange.read1(_READ_BYTES, deadline)
+        except BrokenExchangeError as exc:
+            raise EngineBrokenError(str(exc)) from exc
+        if not block:
+            raise EngineBrokenError(
+                f'The answer of {self._engine} ended without its terminator.'
+            )
+        return block
+
+    def _batch(self, lines: list[bytes], deadline: Millis) -> Batch:
+        pieces: list[Piece] = []
+        for line in lines:
+            try:
+                members = json.loads(line)
+                finish = self._take(members, pieces)
+            except (ValueError, KeyError, TypeError) as exc:
+                raise EngineBrokenError(
+                    f'{self._engine} sent a malformed line.'
+                ) from exc
+            if finish is not None:
+                self._end(deadline)
+                return Batch(tuple(pieces), finish)
+        return Batch(tuple(pieces), None)
+
+    def _take(
+        self, members: Mapping[str, Any], pieces: list[Piece]
+    ) -> Finish | None:
+        if members['attempt_id'] != self._attempt_id:
+            raise EngineBrokenError(
+                f'{self._engine} answered for another attempt.'
+            )
+        if 'finish_reason' not in members:
+            pieces.append(
+                Piece(
+                    members['position'],
+                    members.get('tokens', 1),
+                    members['text'],
+                )
+            )
+            return None
+        usage = members['usage']
+        return Finish(
+            members['finish_reason'],
+            usage['prompt_tokens'],
+            usage['output_tokens'],
+        )
+
+    def _end(self, deadline: Millis) -> None:
+        """Read the end of the body, without which nothing is reused."""
+        if self._rest:
+            return
+        try:
+            self._finished = not self._exchange.read1(_READ_BYTES, deadline)
+        except BrokenExchangeError:
+            # The answer is whole; only its connection is not.
+            self._finished = False
+
+
+def generate_content(order: GenerateOrder) -> bytes:
+    """Return the body of ``POST /v1/generate``."""
+    own_members = {
+        'attempt_id': order.attempt_id,
+        'request_id': order.request_id,
+        'max_tokens': order.max_tokens,
+        'priority': order.priority,
+        'owner': {
+            'node': order.owner.node_id,
+            'incarnation': order.owner.incarnation,
+        },
+        'memory_tokens': order.memory_tokens,
+        'group': order.group,
+        'resume_from': {
+            'position': order.resume_position,
+            'text': order.resume_text,
+        },
+        'time_limit_ms': order.time_limit,
+    }
+    opening = json.dumps(own_members).encode().removesuffix(b'}')
+    return b'%b, %b}' % (opening, order.shared_members)
+
+
+def read_ok_head(
+    exchange: UpstreamExchange, engine: Address, deadline: Millis
+) -> None:
+    """Wait for the head of an answer; raise what it says unless it is 200."""
+    try:
+        exchange.read_head(deadline)
+        if exchange.status == http.HTTPStatus.OK:
+            return
+        content = exchange.read_all(_MOST_REFUSAL_BYTES, deadline)
+    except BrokenExchangeError as exc:
+        exchange.close(clean=False)
+        raise EngineBrokenError(str(exc)) from exc
+    exchange.close(clean=True)
+    raise _refusal(exchange, content, engine)
+
+
+def _error_text(content: bytes, engine: Address) -> str:
+    try:
+        return str(json.loads(content)['error']['message'])
+    except (ValueError, KeyError, TypeError):
+        return f'{engine} refused without a reason.'
+
+
+def _refusal(
+    exchange: UpstreamExchange, content: bytes, engine: Address
+) -> Exception:
+    text = _error_text(content, engine)
+    if exchange.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after = exchange.headers.get('Retry-After', '0')
+        wait = int(retry_after) if retry_after.isdigit() else 0
+        return EngineNotRunError(text, wait * MS_PER_SECOND)
+    if exchange.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return EngineRejectedError(text, exchange.status)
+    return EngineBrokenError(text)
--- /dev/null
+++ b/verbenathread/entry/exchange.py
@@ -0,0 +1,234 @@
+"""One request of a caller and its one answer."""
+
+import http
+from collections.abc import Mapping
+from typing import Any, NamedTuple, Protocol
+
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import HTTPRequest
+
+from verbenathread.clock import Clock
+from verbenathread.entry.bodies import BodyBudget
+from verbenathread.entry.replies import (
+    JSON_TYPE,
+    CallerError,
+    status_line,
+)
+from verbenathread.types import Millis
+
+_READ_BYTES = 65536
+_RETRY_AFTER_MS = 1000
+_LENGTH = 'content-length'
+_TYPE = 'Content-Type'
+
+
+class Limits(NamedTuple):
+    """Bounds on what one entry takes from callers."""
+
+    # Most requests served at once.
+    streams: int
+    # Most bytes of bodies held at once over all requests.
+    buffered_bytes: int
+    # Largest body in bytes.
+    body_bytes: int
+    # Longest time in ms to receive a request.
+    body_timeout: Millis
+
+
+class Exchange:
+    """Reads one request and writes one answer, each within its time."""
+
+    def __init__(
+        self, request: HTTPRequest, limits: Limits, budget: BodyBudget
+    ) -> None:
+        """Wrap a request whose headers were read."""
+        self._request = request
+        self._limits = limits
+        self._budget = budget
+        self._held = 0
+        self.request_id = ''
+        self.method: str = request.method.decode('latin-1')
+        self.path: str = request.path.decode('latin-1')
+        self.query: str = request.qs.decode('latin-1')
+        self.headers: Mapping[str, str] = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in request.inheaders.items()
+        }
+        # Monotonic time in ms at which the request began to arrive.
+        self.arrival: Millis = request.conn.arrival
+        self.sock = request.conn.socket
+        self.answered = False
+        # True for requests that may be served beyond the streams' limit.
+        self.reserved: bool = request.conn.reserved
+
+    def bearer_key(self) -> str:
+        """Return the bearer key, empty without one."""
+        scheme, _, key = self.headers.get('authorization', '').partition(' ')
+        if scheme.lower() != 'bearer':
+            return ''
+        return key.strip()
+
+    def read_body(self) -> bytes:
+        """Return the whole body; it counts as held until :meth:`finish`.
+
+        Raises :class:`CallerError` for a body that is too large, too slow,
+        cut off, or one that there is no room for.
+        """
+        length = self._announced_length()
+        self._hold(length)
+        blocks = []
+        received = 0
+        for block in self._blocks():
+            blocks.append(block)
+            received += len(block)
+        if not self._request.chunked_read and received < length:
+            raise CallerError(
+                http.HTTPStatus.BAD_REQUEST,
+                'body_cut_off',
+                'The body ended before its Content-Length; send it whole.',
+            )
+        self._budget.give_back(self._held - received)
+        self._held = received
+        return b''.join(blocks)
+
+    def write_by(self, deadline: Millis) -> None:
+        """Let no write of the answer wait beyond ``deadline``."""
+        self._request.conn.times.write_by = deadline
+
+    def reply(
+        self,
+        status: int,
+        content: bytes,
+        content_type: str = JSON_TYPE,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Send a whole answer at once."""
+        lines = ((_TYPE, content_type), ('Content-Length', str(len(content))))
+        self._send_headers(status, (*lines, *headers))
+        if self.method != 'HEAD':
+            self._request.write(content)
+
+    def start_stream(
+        self,
+        status: int,
+        content_type: str,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        lines = ((_TYPE, content_type), ('Cache-Control', 'no-cache'))
+        self._send_headers(status, (*lines, *headers))
+
+    def write(self, block: bytes) -> None:
+        """Send one part of a streamed answer at once."""
+        self._request.write(block)
+
+    def refuse(self, error: CallerError) -> None:
+        """Send an error as the final answer."""
+        self.close_after()
+        self.reply(
+            error.status,
+            error.content(self.request_id),
+            headers=error.headers(),
+        )
+
+    def close_after(self) -> None:
+        """Close the connection once this answer is out."""
+        self._request.close_connection = True
+        self._request.conn.drain_on_close = True
+
+    def finish(self) -> None:
+        """Let go of the body; called once, whatever happened."""
+        self._budget.give_back(self._held)
+        self._held = 0
+
+    def _send_headers(
+        self, status: int, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        self.answered = True
+        lines = [('X-Request-Id', self.request_id), *headers]
+        # The stub says str; the library joins it with bytes.
+        request: Any = self._request
+        request.status = status_line(status)
+        self._request.outheaders = [
+            (name.encode('latin-1'), text.encode('latin-1'))
+            for name, text in lines
+        ]
+        self._request.ensure_headers_sent()
+
+    def _announced_length(self) -> int:
+        if self._request.chunked_read:
+            # How much will come is not known: room for the largest.
+            return self._limits.body_bytes
+        # The server library has checked that this is a number.
+        length = int(self.headers.get(_LENGTH, 0))
+        if length < 0:
+            raise CallerError(
+                http.HTTPStatus.BAD_REQUEST,
+                'malformed_request',
+                'Content-Length is below zero; send the length of the body.',
+            )
+        if length > self._limits.body_bytes:
+            raise _too_large(self._limits)
+        return length
+
+    def _hold(self, length: int) -> None:
+        if not self._budget.take(length):
+            raise CallerError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'buffers_full',
+                'The entry holds as many request bodies as it may; '
+                'send the request again later.',
+                retry_after=_RETRY_AFTER_MS,
+            )
+        self._held = length
+
+    def _blocks(self) -> list[bytes]:
+        found = []
+        try:
+            block = self._request.rfile.read(_READ_BYTES)
+            while block:
+                found.append(block)
+                block = self._request.rfile.read(_READ_BYTES)
+        except TimeoutError as exc:
+            raise CallerError(
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                'body_too_slow',
+                f'The body did not arrive within '
+                f'{self._limits.body_timeout} ms; send it faster.',
+            ) from exc
+        except ValueError as exc:
+            raise CallerError(
+                http.HTTPStatus.BAD_REQUEST,
+                'malformed_request',
+                'The chunks of the body are malformed; '
+                'send a Content-Length instead.',
+            ) from exc
+        except (MaxSizeExceeded, OSError) as exc:
+            if self._request.chunked_read:
+                raise _too_large(self._limits) from exc
+            raise
+        return found
+
+
+class Handler(Protocol):
+    """What serves the requests of callers."""
+
+    def handle(self, exchange: Exchange) -> None:
+        """Serve one request; raise :class:`CallerError` to refuse it."""
+
+
+class ServerContext(NamedTuple):
+    """What the server and its connections share."""
+
+    limits: Limits
+    budget: BodyBudget
+    handler: Handler
+    clock: Clock
+
+
+def _too_large(limits: Limits) -> CallerError:
+    return CallerError(
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        'body_too_large',
+        f'The body is over {limits.body_bytes} bytes; send a shorter one.',
+    )
--- /dev/null
+++ b/verbenathread/entry/http_server.py
@@ -0,0 +1,317 @@
+"""The HTTP server towards callers: a bounded pool over cheroot.
+
+Cheroot queues accepted connections without a bound and without a deadline.
+Here every connection with a request either has a worker at once or gets a
+final refusal at once; one that sends nothing occupies no worker.
+"""
+
+import http
+import json
+import logging
+import threading
+from collections.abc import Mapping
+from contextlib import ExitStack
+from typing import Any
+
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.workers.threadpool import ThreadPool
+
+from verbenathread.clock import seconds
+from verbenathread.entry.exchange import Exchange, ServerContext
+from verbenathread.entry.lingering import LingeringCloser
+from verbenathread.entry.replies import (
+    JSON_TYPE,
+    CallerError,
+    RunState,
+    status_line,
+)
+from verbenathread.entry.timed_socket import (
+    SocketTimes,
+    TimedReader,
+    TimedWriter,
+)
+from verbenathread.observability.logs import get_logger
+from verbenathread.types import Address, Millis
+
+# Workers beyond the limit of streams, so that upstreams can renew, and callers
+# read a refusal, while every stream is taken.
+RESERVED_WORKERS = 4
+_MOST_HEADER_BYTES = 32768
+_BACKLOG = 1024
+# Longest time in ms to receive the headers of a request.
+_HEADER_TIMEOUT = 5000
+_RESERVED_HEADER_TIMEOUT = 1000
+# Longest time in ms that one write may wait for a slow reader.
+_WRITE_WAIT = 10_000
+_RETRY_AFTER_MS = 1000
+_STOP_SECONDS = 1
+
+_log = get_logger('callers')
+
+
+class _JsonRequest(HTTPRequest):
+    """Answers malformed requests in the shape that clients parse."""
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Send the refusal of a request that could not be parsed."""
+        code = int(str(status).split(' ', 1)[0])
+        if code == http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            error = self._too_large()
+        else:
+            error = _parse_error(code, msg)
+        self.close_connection = True
+        self.conn.drain_on_close = True
+        self.sent_headers = True
+        self.conn.wfile.write(whole_answer(error))
+
+    def _too_large(self) -> CallerError:
+        limit = self.server.max_request_body_size
+        if self._body_over(limit):
+            return CallerError(
+                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                'body_too_large',
+                f'The body is over {limit} bytes; send a shorter one.',
+            )
+        return CallerError(
+            http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            'headers_too_large',
+            f'The headers are over {_MOST_HEADER_BYTES} bytes; send fewer.',
+        )
+
+    def _body_over(self, limit: int) -> bool:
+        length = self.inheaders.get(b'Content-Length', b'')
+        return length.isdigit() and int(length) > limit
+
+
+class _CallerConnection(HTTPConnection):
+    """One connection of a caller, with a deadline on each of its waits."""
+
+    RequestHandlerClass = _JsonRequest  # noqa: WPS115 the library's name
+
+    def __init__(
+        self, server: 'CallerServer', sock: Any, makefile: Any
+    ) -> None:
+        """Read and write within the times of the request in progress."""
+        super().__init__(server, sock)
+        context = server.context
+        self.times = SocketTimes(context.clock)
+        self.times.write_wait = _WRITE_WAIT
+        self.rfile = TimedReader(sock, self.times)
+        self.wfile = TimedWriter(sock, self.times)
+        self.arrival: Millis = 0
+        self.reserved = False
+        self.drain_on_close = False
+        self.seen_by_selector = False
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection stays open."""
+        context = self.server.context
+        self.arrival = context.clock.now()
+        timeout = _HEADER_TIMEOUT
+        if self.reserved:
+            timeout = _RESERVED_HEADER_TIMEOUT
+        self.times.read_by = self.arrival + timeout
+        self.times.write_by = self.arrival + _WRITE_WAIT
+        with ExitStack() as stack:
+            stack.callback(self.server.worker_done)
+            return bool(super().communicate())  # type: ignore[no-untyped-call]
+
+    def close(self) -> None:
+        """Close at once, or linger until the answer was read."""
+        if not self.drain_on_close:
+            super().close()
+            return
+        self.rfile.close()
+        self.server.closer.take(self.socket)
+
+
+class _CallerGateway(Gateway):
+    """Hands one parsed request to the handler."""
+
+    def respond(self) -> None:
+        """Serve the request and always let go of what it held."""
+        context: ServerContext = self.req.server.context
+        self.req.conn.times.read_by = (
+            self.req.conn.arrival + context.limits.body_timeout
+        )
+        exchange = Exchange(self.req, context.limits, context.budget)
+        with ExitStack() as stack:
+            stack.callback(exchange.finish)
+            self._handle(exchange, context)
+
+    def _handle(self, exchange: Exchange, context: ServerContext) -> None:
+        try:
+            context.handler.handle(exchange)
+        except CallerError as error:
+            if exchange.answered:
+                raise
+            exchange.refuse(error)
+        except OSError:
+            # The caller went away or reads too slowly: nobody to answer.
+            self.req.close_connection = True
+            exchange.answered = True
+            self.req.chunked_write = False
+            self.req.sent_headers = True
+        except Exception:
+            _log.exception('A request failed.', request=exchange.request_id)
+            if exchange.answered:
+                raise
+            exchange.refuse(_internal_error())
+
+
+class CallerServer(HTTPServer):
+    """Takes callers' connections, at most ``streams`` in work at once."""
+
+    ConnectionClass = _CallerConnection  # noqa: WPS115 the library's name
+    request_queue_size = _BACKLOG
+    max_request_header_size = _MOST_HEADER_BYTES
+    # Idle connections are kept this many seconds between requests.
+    timeout = 60
+    shutdown_timeout = _STOP_SECONDS
+
+    def __init__(self, address: Address, context: ServerContext) -> None:
+        """Listen on ``address`` once started."""
+        super().__init__((address.host, address.port), _CallerGateway)
+        self.context = context
+        self.closer = LingeringCloser(context.clock)
+        self.max_request_body_size = context.limits.body_bytes
+        # Idle connections hold no worker, but each takes a descriptor.
+        self.keep_alive_conn_limit = 4 * context.limits.streams
+        workers = context.limits.streams + RESERVED_WORKERS
+        self.requests = ThreadPool(self, min=workers, max=workers)
+        self._busy = 0
+        self._changed = threading.Condition()
+        self._thread = threading.Thread(
+            target=self.serve, name='callers-accept', daemon=True
+        )
+
+    @property
+    def address(self) -> Address:
+        """Return where the server listens; the port is the real one."""
+        host, port = self.bind_addr[:2]
+        return Address(host, port)
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests are in work."""
+        return self._busy
+
+    def start(self) -> None:
+        """Listen and serve in threads of their own."""
+        self.prepare()
+        self.closer.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop listening and close what is idle."""
+        super().stop()
+        self._thread.join()
+        self.closer.stop()
+
+    def process_conn(self, conn: _CallerConnection) -> None:
+        """Give a readable connection a worker, or refuse it at once."""
+        if not conn.seen_by_selector:
+            # A new connection waits for its first byte without a worker.
+            conn.seen_by_selector = True
+            self._wait_for_bytes(conn)
+            return
+        with self._changed:
+            limit = self.context.limits.streams
+            conn.reserved = self._busy >= limit
+            taken = self._busy < limit + RESERVED_WORKERS
+            if taken:
+                self._busy += 1
+        if taken:
+            self.requests.put(conn)
+            return
+        conn.rfile.close()
+        self.closer.take(conn.socket, whole_answer(overloaded()))
+
+    def worker_done(self) -> None:
+        """Count a worker as free again."""
+        with self._changed:
+            self._busy -= 1
+            self._changed.notify_all()
+
+    def wait_idle(self, limit: Millis) -> bool:
+        """Wait up to ``limit`` ms until no request is in work."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._busy == 0, seconds(limit)
+            )
+
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        """Write what the server library reports to the log."""
+        if level >= logging.ERROR:
+            _log.error('The server reported a fault.', fault=msg)
+            return
+        _log.debug('The server reported.', what=msg)
+
+    def _wait_for_bytes(self, conn: _CallerConnection) -> None:
+        if self.can_add_keepalive_connection:
+            # The library's own keeper of idle connections.
+            self._connections.put(conn)  # type: ignore[attr-defined]
+            return
+        conn.rfile.close()
+        self.closer.take(conn.socket, whole_answer(overloaded()))
+
+
+def overloaded() -> CallerError:
+    """Return the refusal of a request that there is no worker for."""
+    return CallerError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'overloaded',
+        'The entry serves as many requests as it may; '
+        'send the request again later.',
+        retry_after=_RETRY_AFTER_MS,
+    )
+
+
+def whole_answer(error: CallerError) -> bytes:
+    """Return an error as the bytes of a whole HTTP answer."""
+    content = error.content()
+    lines = [
+        b'HTTP/1.1 %b' % status_line(error.status),
+        f'Content-Type: {JSON_TYPE}'.encode(),
+        f'Content-Length: {len(content)}'.encode(),
+        b'Connection: close',
+    ]
+    for name, text in error.headers():
+        lines.append(f'{name}: {text}'.encode('latin-1'))
+    lines.extend((b'', content))
+    return b'\r\n'.join(lines)
+
+
+def json_answer(fields: Mapping[str, Any]) -> bytes:
+    """Return a JSON body."""
+    return json.dumps(fields).encode()
+
+
+def _parse_error(status: int, text: str) -> CallerError:
+    if status == http.HTTPStatus.REQUEST_TIMEOUT:
+        return CallerError(
+            status,
+            'request_too_slow',
+            f'The request did not arrive within '
+            f'{seconds(_HEADER_TIMEOUT)} s; send it faster.',
+        )
+    if status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return _internal_error()
+    detail = text or http.HTTPStatus(status).phrase
+    return CallerError(
+        status,
+        'malformed_request',
+        f'{detail}. Send a well-formed HTTP/1.1 request.',
+    )
+
+
+def _internal_error() -> CallerError:
+    return CallerError(
+        http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        'internal_error',
+        'The entry failed on this request; look its effect up before '
+        'sending it again, and tell the operators its request identifier.',
+        run_state=RunState.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/verbenathread/entry/model_service.py
@@ -0,0 +1,247 @@
+"""POST /v1/chat/completions, POST /v1/completions and GET /v1/models."""
+
+import http
+import json
+from typing import NamedTuple
+
+from verbenathread.clock import MS_PER_SECOND, Clock, seconds
+from verbenathread.entry.access import (
+    Account,
+    account_of,
+    deadline_of,
+    service_of,
+)
+from verbenathread.entry.answer_format import (
+    EVENT_STREAM_TYPE,
+    AnswerFormat,
+    error_event,
+)
+from verbenathread.entry.caller_watch import CallerWatch
+from verbenathread.entry.engine_client import Finish, Piece
+from verbenathread.entry.exchange import Exchange
+from verbenathread.entry.model_call import (
+    CallResult,
+    ModelCall,
+    parse_call,
+)
+from verbenathread.entry.ports import SharedSettings
+from verbenathread.entry.relay import (
+    CallerGoneError,
+    ModelRequest,
+    Relay,
+    RelayPorts,
+)
+from verbenathread.entry.replies import CallerError
+from verbenathread.entry.request_state import CallerGone, Deadline
+from verbenathread.observability.logs import get_logger
+from verbenathread.observability.metrics import EntryMetrics, length_label
+from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
+from verbenathread.schema import settings_pb2
+from verbenathread.types import UpstreamKind, Work
+
+# Time in ms beyond the deadline to write the answer that says so.
+_FINAL_ANSWER_TIME = 2000
+
+_log = get_logger('models')
+
+
+class ModelParts(NamedTuple):
+    """What serving a model request needs."""
+
+    settings: SharedSettings
+    relay: RelayPorts
+    watch: CallerWatch
+    metrics: EntryMetrics
+    prompts: TokenEstimator
+    outputs: OutputEstimator
+    clock: Clock
+
+
+class _Sink:
+    """Passes pieces to the caller, or gathers them for a whole answer."""
+
+    def __init__(
+        self,
+        parts: ModelParts,
+        exchange: Exchange,
+        answer: AnswerFormat,
+        work: Work,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._answer = answer
+        self._work = work
+        self._texts: list[str] = []
+        self._first = True
+
+    def pieces(self, pieces: list[Piece]) -> None:
+        """Take pieces that follow one another without a gap."""
+        if self._first:
+            self._first = False
+            self._count_first_token()
+        if not self._answer.call.stream:
+            for piece in pieces:
+                self._texts.append(piece.text)
+            return
+        block = self._answer.events(pieces)
+        if not self._exchange.answered:
+            block = self._open() + block
+        self._exchange.write(block)
+
+    def retried(self) -> None:
+        """Count another attempt."""
+        self._parts.metrics.retries.labels(self._work.service).inc()
+
+    def finish(self, finish: Finish) -> None:
+        """Send what the answer ends with."""
+        if not self._answer.call.stream:
+            content = self._answer.whole(''.join(self._texts), finish)
+            self._exchange.reply(http.HTTPStatus.OK, content)
+            return
+        block = self._answer.ending(finish)
+        if not self._exchange.answered:
+            block = self._open() + block
+        self._exchange.write(block)
+
+    def fail(self, error: CallerError) -> None:
+        """Say in the midst of a stream that it can't be finished."""
+        content = error.content(self._exchange.request_id)
+        self._exchange.close_after()
+        self._exchange.write(error_event(content))
+
+    def _open(self) -> bytes:
+        self._exchange.start_stream(http.HTTPStatus.OK, EVENT_STREAM_TYPE)
+        return self._answer.opening()
+
+    def _count_first_token(self) -> None:
+        took = self._parts.clock.now() - self._work.arrival
+        label = length_label(self._work.prompt_tokens)
+        self._parts.metrics.first_token.labels(
+            self._work.service, label
+        ).observe(seconds(took))
+
+
+class ModelService:
+    """Serves the requests for models."""
+
+    def __init__(self, parts: ModelParts) -> None:
+        """Serve with ``parts``."""
+        self._parts = parts
+
+    def list_models(self, exchange: Exchange) -> None:
+        """Answer with the models that the account may call."""
+        settings = self._parts.settings
+        account = account_of(settings, exchange)
+        models = []
+        for name in settings.service_names():
+            service = settings.service(name)
+            if service is None or service.kind != UpstreamKind.ENGINE.value:
+                continue
+            if not account.may_call(name):
+                continue
+            models.append(
+                {
+                    'id': name,
+                    'object': 'model',
+                    'created': 0,
+                    'owned_by': 'verbenathread',
+                }
+            )
+        content = json.dumps({'object': 'list', 'data': models}).encode()
+        exchange.reply(http.HTTPStatus.OK, content)
+
+    def complete(self, exchange: Exchange, *, chat: bool) -> None:
+        """Relay one request to an engine and its answer to the caller."""
+        account = account_of(self._parts.settings, exchange)
+        call = _checked(parse_call(exchange.read_body(), chat=chat))
+        service = service_of(
+            self._parts.settings,
+            account,
+            call.model,
+            UpstreamKind.ENGINE.value,
+        )
+        deadline = deadline_of(exchange, service, self._parts.clock)
+        exchange.write_by(deadline.moment + _FINAL_ANSWER_TIME)
+        work = self._work(exchange, account, call, service, deadline)
+        gone = CallerGone()
+        request = ModelRequest(
+            call,
+            work,
+            self._parts.settings.policy(call.model),
+            deadline,
+            gone,
+        )
+        with self._parts.watch.watching(exchange.sock, gone.set):
+            self._serve(exchange, request)
+
+    def _work(
+        self,
+        exchange: Exchange,
+        account: Account,
+        call: ModelCall,
+        service: settings_pb2.ServiceSettings,
+        deadline: Deadline,
+    ) -> Work:
+        most = service.most_output_tokens
+        if call.max_tokens is not None:
+            most = min(most, call.max_tokens)
+        return Work(
+            exchange.request_id,
+            account.name,
+            call.model,
+            self._parts.prompts.tokens(
+                call.model, call.prompt_bytes, service.bytes_per_token
+            ),
+            most,
+            self._parts.outputs.expected(account.name, call.model, most),
+            deadline.moment,
+            exchange.arrival,
+            call.prefix_hashes,
+        )
+
+    def _serve(self, exchange: Exchange, request: ModelRequest) -> None:
+        answer = AnswerFormat.of_call(
+            request.call,
+            exchange.request_id,
+            self._parts.clock.wall() // MS_PER_SECOND,
+        )
+        sink = _Sink(self._parts, exchange, answer, request.work)
+        outcome = 'failed'
+        try:
+            finish = Relay(self._parts.relay, request, sink).run()
+            sink.finish(finish)
+            outcome = 'completed'
+            self._learn(request, finish)
+        except CallerGoneError as exc:
+            outcome = 'caller_gone'
+            raise ConnectionAbortedError('The caller hung up.') from exc
+        except CallerError as error:
+            outcome = error.code
+            if not exchange.answered:
+                raise
+            sink.fail(error)
+        finally:
+            self._parts.metrics.requests.labels(
+                request.work.service, outcome
+            ).inc()
+
+    def _learn(self, request: ModelRequest, finish: Finish) -> None:
+        work = request.work
+        service = self._parts.settings.service(work.service)
+        if service is None:
+            return
+        self._parts.prompts.note(
+            work.service,
+            request.call.prompt_bytes,
+            finish.prompt_tokens,
+            service.bytes_per_token,
+        )
+        self._parts.outputs.note(
+            work.account, work.service, finish.output_tokens
+        )
+
+
+def _checked(parsed: CallResult) -> ModelCall:
+    if parsed.is_error():
+        raise parsed.error
+    return parsed.ok
--- /dev/null
+++ b/verbenathread/entry/plain_service.py
@@ -0,0 +1,390 @@
+"""Calls on plain services: /services/NAME/...
+
+A method that the service lists as idempotent is repeated within the time
+limit. Any other call is sent once: with an ``Idempotency-Key`` under a claim
+that a quorum recorded before, without one on its own.
+"""
+
+import hashlib
+import http
+import random
+import uuid
+from typing import NamedTuple, NoReturn
+from urllib.parse import quote
+
+from verbenathread.clock import Clock
+from verbenathread.entry.access import (
+    Account,
+    account_of,
+    deadline_of,
+    service_of,
+)
+from verbenathread.entry.caller_watch import CallerWatch
+from verbenathread.entry.engine_client import Owner
+from verbenathread.entry.exchange import Exchange
+from verbenathread.entry.plain_exchange import (
+    IDEMPOTENCY_HEADER,
+    PlainAnswer,
+    PlainAttempt,
+    PlainCall,
+    PlainClient,
+    plain_call,
+)
+from verbenathread.entry.ports import Claims, SharedSettings, Upstreams
+from verbenathread.entry.replies import CallerError, RunState
+from verbenathread.entry.request_state import CallerGone, Deadline
+from verbenathread.entry.settler import Settler
+from verbenathread.exceptions import VerbenathreadError
+from verbenathread.observability.logs import get_logger
+from verbenathread.observability.metrics import EntryMetrics
+from verbenathread.schema import control_pb2, settings_pb2
+from verbenathread.types import Outcome, UpstreamKind, UpstreamRecord
+
+# Time in ms beyond the deadline to write the answer that says so.
+_FINAL_ANSWER_TIME = 2000
+# How long in ms an outcome is tried to be recorded beyond the time limit.
+_SETTLE_TIME = 60_000
+_CLAIM_TIMEOUT = 5000
+_RETRY_AFTER_MS = 1000
+_LONGEST_BACKOFF = 2000
+_MOST_KEY_CHARACTERS = 255
+_PATH_PARTS_BEFORE_REST = 3
+# Characters that a path may hold as they are, by RFC 3986.
+_PATH_CHARACTERS = "/%:@!$&'()*+,;=~-._"
+_REPLAYED = (('Idempotent-Replayed', 'true'),)
+_NO_ATTEMPT = PlainAttempt(Outcome.NOT_RUN, None, 'No upstream is ready.')
+
+_log = get_logger('services')
+
+
+class PlainParts(NamedTuple):
+    """What forwarding a call needs."""
+
+    settings: SharedSettings
+    upstreams: Upstreams
+    claims: Claims
+    settler: Settler
+    client: PlainClient
+    watch: CallerWatch
+    metrics: EntryMetrics
+    owner: Owner
+    clock: Clock
+
+
+class _Request(NamedTuple):
+    exchange: Exchange
+    account: Account
+    service_name: str
+    service: settings_pb2.ServiceSettings
+    call: PlainCall
+    deadline: Deadline
+    gone: CallerGone
+
+
+class PlainService:
+    """Forwards calls to plain services."""
+
+    def __init__(self, parts: PlainParts) -> None:
+        """Forward with ``parts``."""
+        self._parts = parts
+
+    def forward(self, exchange: Exchange) -> None:
+        """Serve one call under /services/NAME/."""
+        request = self._request(exchange)
+        outcome = 'failed'
+        try:
+            self._serve_watched(request)
+            outcome = 'completed'
+        except CallerError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._parts.metrics.requests.labels(
+                request.service_name, outcome
+            ).inc()
+
+    def _serve_watched(self, request: _Request) -> None:
+        sock = request.exchange.sock
+        with self._parts.watch.watching(sock, request.gone.set):
+            self._serve(request)
+
+    def _request(self, exchange: Exchange) -> _Request:
+        account = account_of(self._parts.settings, exchange)
+        name, target = _split(exchange)
+        service = service_of(
+            self._parts.settings, account, name, UpstreamKind.PLAIN.value
+        )
+        deadline = deadline_of(exchange, service, self._parts.clock)
+        body = exchange.read_body()
+        exchange.write_by(deadline.moment + _FINAL_ANSWER_TIME)
+        call = plain_call(exchange, target, exchange.request_id, body)
+        return _Request(
+            exchange, account, name, service, call, deadline, CallerGone()
+        )
+
+    def _serve(self, request: _Request) -> None:
+        idempotent = request.service.idempotent.upper().split(',')
+        if request.call.method in {part.strip() for part in idempotent}:
+            self._repeat(request)
+            return
+        key = request.exchange.headers.get(IDEMPOTENCY_HEADER.lower(), '')
+        if not key:
+            attempt = self._send_once(request, uuid.uuid4().hex)
+            self._answer_once(request, attempt)
+            return
+        if len(key) > _MOST_KEY_CHARACTERS:
+            raise CallerError(
+                http.HTTPStatus.BAD_REQUEST,
+                'invalid_idempotency_key',
+                f'{IDEMPOTENCY_HEADER} must have at most '
+                f'{_MOST_KEY_CHARACTERS} characters.',
+            )
+        self._claimed(request, key)
+
+    def _repeat(self, request: _Request) -> None:
+        """Send a call that may be repeated until one attempt completes."""
+        policy = self._parts.settings.policy(request.service_name)
+        backoff = policy.retry_base
+        last = _NO_ATTEMPT
+        for number in range(policy.attempts):
+            if number:
+                self._parts.metrics.retries.labels(request.service_name).inc()
+                # Jitter only: the number guards nothing.
+                wait = round(backoff * random.uniform(0.5, 1))  # noqa: S311
+                request.gone.wait(min(wait, request.deadline.left()))
+                backoff = min(backoff * 2, _LONGEST_BACKOFF)
+            if request.gone.happened:
+                raise ConnectionAbortedError('The caller hung up.')
+            if request.deadline.passed():
+                break
+            last = self._try_one(request, number)
+            if last.outcome == Outcome.COMPLETED:
+                _reply(request, last)
+                return
+        raise self._failed(request, last)
+
+    def _try_one(self, request: _Request, number: int) -> PlainAttempt:
+        upstreams = self._shuffled(request)
+        if not upstreams:
+            return _NO_ATTEMPT
+        return self._parts.client.attempt(
+            upstreams[number % len(upstreams)],
+            request.call,
+            uuid.uuid4().hex,
+            request.deadline,
+            request.gone,
+            fresh=False,
+        )
+
+    def _send_once(self, request: _Request, attempt_id: str) -> PlainAttempt:
+        """Send a call that may not be repeated to the first that connects."""
+        last = _NO_ATTEMPT
+        for upstream in self._shuffled(request):
+            if request.deadline.passed():
+                break
+            last = self._parts.client.attempt(
+                upstream,
+                request.call,
+                attempt_id,
+                request.deadline,
+                request.gone,
+                fresh=True,
+            )
+            if last.outcome != Outcome.NOT_RUN:
+                break
+        return last
+
+    def _claimed(self, request: _Request, key: str) -> None:
+        attempt_id = uuid.uuid4().hex
+        claim = self._claim_request(request, key, attempt_id)
+        limit = min(_CLAIM_TIMEOUT, request.deadline.left())
+        try:
+            reply = self._parts.claims.claim(claim, limit)
+        except (VerbenathreadError, OSError) as exc:
+            self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
+            raise _no_quorum() from exc
+        if reply.answer.code != control_pb2.OK:
+            # The claim may stand all the same: nothing was sent under it.
+            self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
+            raise _no_quorum()
+        if reply.state != control_pb2.CLAIM_HELD:
+            _answer_claimed_before(request, reply)
+            return
+        attempt = self._send_claimed(request, claim)
+        self._answer_once(request, attempt)
+
+    def _send_claimed(
+        self, request: _Request, claim: control_pb2.ClaimRequest
+    ) -> PlainAttempt:
+        """Send the one attempt of a claim and have its outcome recorded."""
+        try:
+            attempt = self._send_once(request, claim.attempt_id)
+        except BaseException:
+            self._settle(request, claim, control_pb2.CLAIM_OUTCOME_UNKNOWN)
+            raise
+        if attempt.outcome == Outcome.COMPLETED and attempt.answer:
+            self._settle(
+                request,
+                claim,
+                control_pb2.CLAIM_COMPLETED,
+                _stored(attempt.answer),
+            )
+        elif attempt.outcome == Outcome.NOT_RUN:
+            self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
+        else:
+            self._settle(request, claim, control_pb2.CLAIM_OUTCOME_UNKNOWN)
+        return attempt
+
+    def _settle(
+        self,
+        request: _Request,
+        claim: control_pb2.ClaimRequest,
+        outcome: control_pb2.ClaimState,
+        stored: control_pb2.StoredAnswer | None = None,
+    ) -> None:
+        settle = control_pb2.SettleRequest(
+            account=claim.account,
+            service=claim.service,
+            idempotency_key=claim.idempotency_key,
+            attempt_id=claim.attempt_id,
+            state=outcome,
+            stored=stored,
+        )
+        keep_for = request.deadline.left() + _SETTLE_TIME
+        self._parts.settler.settle(settle, keep_for)
+
+    def _claim_request(
+        self, request: _Request, key: str, attempt_id: str
+    ) -> control_pb2.ClaimRequest:
+        call = request.call
+        content = f'{call.method} {call.target}\n'.encode() + call.body
+        return control_pb2.ClaimRequest(
+            account=request.account.name,
+            service=request.service_name,
+            idempotency_key=key,
+            body_sha256=hashlib.sha256(content).hexdigest(),
+            attempt_id=attempt_id,
+            node_id=self._parts.owner.node_id,
+            node_incarnation=self._parts.owner.incarnation,
+            retention_s=request.service.claim_retention,
+            time_limit_ms=request.deadline.left(),
+        )
+
+    def _answer_once(self, request: _Request, attempt: PlainAttempt) -> None:
+        if attempt.outcome == Outcome.UNKNOWN or attempt.answer is None:
+            raise self._failed(request, attempt)
+        _reply(request, attempt)
+
+    def _failed(self, request: _Request, attempt: PlainAttempt) -> CallerError:
+        if attempt.outcome == Outcome.NOT_RUN:
+            return CallerError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                'no_upstream',
+                f'{attempt.fault} Send the call again later.',
+                retry_after=_RETRY_AFTER_MS,
+            )
+        status = http.HTTPStatus.BAD_GATEWAY
+        if request.deadline.passed():
+            status = http.HTTPStatus.GATEWAY_TIMEOUT
+        return CallerError(
+            status,
+            'outcome_unknown',
+            f'{attempt.fault} The call may have run; look its effect up '
+            'before sending it again.',
+            run_state=RunState.MAY_HAVE_RUN,
+        )
+
+    def _shuffled(self, request: _Request) -> list[UpstreamRecord]:
+        found = list(self._parts.upstreams.by_service(request.service_name))
+        random.shuffle(found)
+        return found
+
+
+def _split(exchange: Exchange) -> tuple[str, str]:
+    """Return the service and the path that its upstream sees."""
+    raw = exchange.path.split('/', _PATH_PARTS_BEFORE_REST)
+    name = raw[2] if len(raw) > 2 else ''
+    rest = raw[_PATH_PARTS_BEFORE_REST] if len(raw) > 3 else ''
+    quoted = quote(rest, safe=_PATH_CHARACTERS)
+    target = f'/{quoted}'
+    if exchange.query:
+        target = f'{target}?{exchange.query}'
+    return name, target
+
+
+def _reply(request: _Request, attempt: PlainAttempt) -> None:
+    answer = attempt.answer
+    assert answer is not None
+    state = RunState.RUN
+    if attempt.outcome == Outcome.NOT_RUN:
+        state = RunState.NOT_RUN
+    headers = (*answer.headers, ('X-Run-State', state.value))
+    request.exchange.reply(
+        answer.status, answer.body, answer.content_type, headers
+    )
+
+
+def _answer_claimed_before(
+    request: _Request, reply: control_pb2.ClaimReply
+) -> None:
+    """Answer an arrival whose key was claimed before."""
+    if reply.state == control_pb2.CLAIM_COMPLETED:
+        stored = reply.stored
+        headers = (*_REPLAYED, ('X-Run-State', RunState.RUN.value))
+        request.exchange.reply(
+            stored.status, stored.body, stored.content_type, headers
+        )
+        return
+    _refuse_claimed(reply)
+
+
+def _refuse_claimed(reply: control_pb2.ClaimReply) -> NoReturn:
+    wait = reply.retry_after_ms or _RETRY_AFTER_MS
+    if reply.state == control_pb2.CLAIM_IN_PROGRESS:
+        raise CallerError(
+            http.HTTPStatus.CONFLICT,
+            'in_progress',
+            'A call with this Idempotency-Key is running; send it again '
+            'later to get its answer.',
+            run_state=RunState.MAY_HAVE_RUN,
+            retry_after=wait,
+        )
+    if reply.state == control_pb2.CLAIM_OUTCOME_UNKNOWN:
+        raise CallerError(
+            http.HTTPStatus.CONFLICT,
+            'outcome_unknown',
+            'The call with this Idempotency-Key may have run, and nobody can '
+            'tell; look its effect up, and use a new key if it did not run.',
+            run_state=RunState.MAY_HAVE_RUN,
+        )
+    if reply.state == control_pb2.CLAIM_MISMATCH:
+        raise CallerError(
+            http.HTTPStatus.UNPROCESSABLE_ENTITY,
+            'idempotency_key_reused',
+            'This Idempotency-Key was used for another call; '
+            'use a new key for each call.',
+        )
+    raise CallerError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'not_run',
+        'The call was not run; send it again with the same key.',
+        retry_after=wait,
+    )
+
+
+def _no_quorum() -> CallerError:
+    return CallerError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'no_quorum',
+        'The call could not be recorded, so it was not run; '
+        'send it again later with the same key.',
+        retry_after=_RETRY_AFTER_MS,
+    )
+
+
+def _stored(answer: PlainAnswer) -> control_pb2.StoredAnswer:
+    return control_pb2.StoredAnswer(
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+    )
--- /dev/null
+++ b/verbenathread/entry/reaper.py
@@ -0,0 +1,249 @@
+"""Cancels attempts until their engines confirm, then releases the memory.
+
+A cancel can be lost like any message. So an attempt that broke is kept here
+until its engine says that it holds nothing of it, or the engine is gone. What
+earlier incarnations of this entry left behind is found by reading what the
+engines hold, and cancelled too.
+"""
+
+import heapq
+import itertools
+import threading
+from typing import NamedTuple
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.entry.engine_client import EngineClient, Owner
+from verbenathread.entry.engine_errors import (
+    EngineBrokenError,
+    EngineNotRunError,
+    EngineRejectedError,
+)
+from verbenathread.entry.ports import Reservations, Upstreams
+from verbenathread.observability.logs import get_logger
+from verbenathread.types import (
+    Millis,
+    Reservation,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+# Times in ms: one cancel, and the waits between the cancels of one attempt.
+_CANCEL_TIMEOUT = 1000
+_FIRST_WAIT = 20
+_LONGEST_WAIT = 2000
+_RECONCILE_EVERY = 10_000
+_IDLE_WAIT = 500
+_ENGINE_ERRORS = (EngineBrokenError, EngineNotRunError, EngineRejectedError)
+
+_log = get_logger('reaper')
+
+
+class _Cancel(NamedTuple):
+    due: Millis
+    # Keeps the heap from comparing reservations.
+    number: int
+    reservation: Reservation
+    engines: tuple[UpstreamRecord, ...]
+    output_tokens: int
+    wait: Millis
+
+
+class Reaper:
+    """One thread that ends what broken attempts left at engines."""
+
+    def __init__(
+        self,
+        client: EngineClient,
+        reservations: Reservations,
+        upstreams: Upstreams,
+        owner: Owner,
+        clock: Clock,
+    ) -> None:
+        """Start nothing before :meth:`start`."""
+        self._client = client
+        self._reservations = reservations
+        self._upstreams = upstreams
+        self._owner = owner
+        self._clock = clock
+        self._pending: list[_Cancel] = []
+        self._numbers = itertools.count()
+        self._live_attempts: set[str] = set()
+        self._engine_by_id: dict[str, UpstreamRecord] = {}
+        self._next_reconcile: Millis = clock.now() + _RECONCILE_EVERY
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name='reaper', daemon=True
+        )
+
+    @property
+    def pending(self) -> int:
+        """Return how many attempts are not confirmed as ended."""
+        with self._changed:
+            return len(self._pending)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self, limit: Millis) -> None:
+        """Wait up to ``limit`` ms for what is pending, then end.
+
+        What is left then is reconciled by the engine's next leaseholder.
+        """
+        deadline = self._clock.now() + limit
+        with self._changed:
+            while self._pending and self._clock.now() < deadline:
+                left = deadline - self._clock.now()
+                self._changed.wait(seconds(max(1, left)))
+            self._stopping = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def opened(self, attempt_id: str, engine: UpstreamRecord) -> None:
+        """Count an attempt as live before it is sent."""
+        with self._changed:
+            self._live_attempts.add(attempt_id)
+            self._engine_by_id[engine.upstream_id] = engine
+
+    def ended(self, attempt_id: str) -> None:
+        """Count an attempt as ended cleanly."""
+        with self._changed:
+            self._live_attempts.discard(attempt_id)
+
+    def cancel(
+        self,
+        reservation: Reservation,
+        engines: tuple[UpstreamRecord, ...],
+        output_tokens: int,
+    ) -> None:
+        """Cancel until confirmed, then release; returns at once."""
+        with self._changed:
+            self._push(
+                _Cancel(
+                    self._clock.now(),
+                    next(self._numbers),
+                    reservation,
+                    engines,
+                    output_tokens,
+                    _FIRST_WAIT,
+                )
+            )
+            self._changed.notify_all()
+
+    def reconcile(self, engine: UpstreamRecord) -> int:
+        """Cancel what an engine holds for this node and nobody waits for.
+
+        Returns how many such holds were found.
+        """
+        found = 0
+        for hold in self._client.holds(engine.address, _CANCEL_TIMEOUT):
+            if hold.owner.node_id != self._owner.node_id:
+                continue
+            if self._is_live(hold.attempt_id, hold.owner.incarnation):
+                continue
+            found += 1
+            self._client.cancel(
+                engine.address, hold.attempt_id, _CANCEL_TIMEOUT
+            )
+        return found
+
+    def _is_live(self, attempt_id: str, incarnation: int) -> bool:
+        if incarnation > self._owner.incarnation:
+            # This process was replaced; its successor decides.
+            return True
+        if incarnation < self._owner.incarnation:
+            return False
+        with self._changed:
+            return attempt_id in self._live_attempts
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                if self._stopping:
+                    return
+                due = self._take_due()
+            if due is not None:
+                self._try(due)
+            self._reconcile_when_due()
+
+    def _take_due(self) -> _Cancel | None:
+        wait = _IDLE_WAIT
+        if self._pending:
+            wait = min(wait, self._pending[0].due - self._clock.now())
+        if wait > 0:
+            self._changed.wait(seconds(wait))
+        if self._pending and self._pending[0].due <= self._clock.now():
+            # It stays counted as pending until it is confirmed.
+            return self._pending[0]
+        return None
+
+    def _try(self, due: _Cancel) -> None:
+        try:
+            ended = all(self._cancelled(due, engine) for engine in due.engines)
+        except Exception:
+            _log.exception('A cancel failed.', attempt=_attempt_id(due))
+            ended = False
+        if ended:
+            self._reservations.release(
+                due.reservation, output_tokens=due.output_tokens, failed=True
+            )
+        with self._changed:
+            self._pending.remove(due)
+            heapq.heapify(self._pending)
+            if ended:
+                self._live_attempts.discard(_attempt_id(due))
+            else:
+                wait = min(due.wait * 2, _LONGEST_WAIT)
+                later = self._clock.now() + due.wait
+                self._push(due._replace(due=later, wait=wait))
+            self._changed.notify_all()
+
+    def _push(self, cancel: _Cancel) -> None:
+        heapq.heappush(self._pending, cancel)
+
+    def _cancelled(self, due: _Cancel, engine: UpstreamRecord) -> bool:
+        try:
+            holds = self._client.cancel(
+                engine.address, _attempt_id(due), _CANCEL_TIMEOUT
+            )
+        except _ENGINE_ERRORS:
+            return self._is_gone(engine)
+        return not holds
+
+    def _is_gone(self, engine: UpstreamRecord) -> bool:
+        """Return whether the engine's memory went with it."""
+        known = self._upstreams.get(engine.upstream_id)
+        if known is None or known.state == UpstreamState.GONE:
+            return True
+        return known.incarnation > engine.incarnation
+
+    def _reconcile_when_due(self) -> None:
+        now = self._clock.now()
+        if now < self._next_reconcile:
+            return
+        self._next_reconcile = now + _RECONCILE_EVERY
+        with self._changed:
+            engines = tuple(self._engine_by_id.values())
+        for engine in engines:
+            self._reconcile_one(engine)
+
+    def _reconcile_one(self, engine: UpstreamRecord) -> None:
+        if self._is_gone(engine):
+            with self._changed:
+                self._engine_by_id.pop(engine.upstream_id, None)
+            return
+        try:
+            found = self.reconcile(engine)
+        except _ENGINE_ERRORS:
+            return
+        if found:
+            _log.warning(
+                'Cancelled holds that nobody waits for.',
+                engine=engine.upstream_id,
+                holds=found,
+            )
+
+
+def _attempt_id(cancel: _Cancel) -> str:
+    return cancel.reservation.attempt_id
--- /dev/null
+++ b/verbenathread/entry/relay.py
@@ -0,0 +1,325 @@
+"""Attempts at one model request, and the answer pieced together from them.
+
+The tokens that reach the caller are counted by position over all attempts:
+a piece that was relayed before is dropped, and a gap breaks the attempt. A
+broken attempt is resumed from the next token by another engine.
+"""
+
+import random
+import uuid
+from contextlib import closing
+from typing import NamedTuple, Protocol
+
+from verbenathread.clock import Clock
+from verbenathread.entry.engine_client import (
+    Batch,
+    EngineClient,
+    Finish,
+    GenerateOrder,
+    Owner,
+    Piece,
+    TokenStream,
+)
+from verbenathread.entry.engine_errors import (
+    EngineBrokenError,
+    EngineNotRunError,
+    EngineRejectedError,
+)
+from verbenathread.entry.model_call import ModelCall
+from verbenathread.entry.ports import Reservations, Upstreams
+from verbenathread.entry.reaper import Reaper
+from verbenathread.entry.replies import CallerError, RunState, refusal_error
+from verbenathread.entry.request_state import CallerGone, Deadline
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import settings_pb2
+from verbenathread.types import Refusal, Reservation, UpstreamRecord, Work
+
+_GATEWAY_TIMEOUT = 504
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_LENGTH_REASON = 'length'
+# Output tokens between two reports of progress to the scheduler.
+_PROGRESS_TOKENS = 32
+_JITTER_LEAST = 0.5
+_LONGEST_BACKOFF = 2000
+_RETRY_AFTER_MS = 1000
+
+_log = get_logger('relay')
+
+
+class CallerGoneError(Exception):
+    """The caller hung up; nobody waits for the answer."""
+
+
+class Sink(Protocol):
+    """Where the relayed tokens go."""
+
+    def pieces(self, pieces: list[Piece]) -> None:
+        """Take pieces that follow one another without a gap."""
+
+    def retried(self) -> None:
+        """Note that another attempt is made."""
+
+
+class RelayPorts(NamedTuple):
+    """The neighbours that every relay uses."""
+
+    client: EngineClient
+    reservations: Reservations
+    upstreams: Upstreams
+    reaper: Reaper
+    owner: Owner
+    clock: Clock
+
+
+class ModelRequest(NamedTuple):
+    """One admitted request."""
+
+    call: ModelCall
+    work: Work
+    policy: settings_pb2.PolicySettings
+    deadline: Deadline
+    gone: CallerGone
+
+
+class Relay:
+    """Runs attempts until the answer is whole or must be given up."""
+
+    def __init__(
+        self, ports: RelayPorts, request: ModelRequest, sink: Sink
+    ) -> None:
+        """Relay one request into ``sink``."""
+        self._ports = ports
+        self._request = request
+        self._sink = sink
+        self._position = 0
+        self._texts: list[str] = []
+        # True once an engine may have begun on the request.
+        self._may_have_run = False
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what an error may say of the request now."""
+        if self._may_have_run:
+            return RunState.MAY_HAVE_RUN
+        return RunState.NOT_RUN
+
+    def run(self) -> Finish:
+        """Return the terminator once every token is in the sink.
+
+        Raises :class:`CallerError`, or :class:`CallerGoneError`.
+        """
+        last_fault: Exception = EngineNotRunError('No engine was asked.')
+        backoff = self._request.policy.retry_base
+        for number in range(self._request.policy.attempts):
+            if number:
+                self._sink.retried()
+            try:
+                return self._attempt()
+            except EngineNotRunError as exc:
+                last_fault = exc
+                self._wait(max(backoff, exc.retry_after))
+                backoff = min(backoff * 2, _LONGEST_BACKOFF)
+            except EngineBrokenError as exc:
+                last_fault = exc
+            _log.info(
+                'An attempt failed.',
+                request=self._request.work.request_id,
+                fault=str(last_fault),
+                position=self._position,
+            )
+            self._check()
+            if self._position >= self._request.work.most_output_tokens:
+                return self._full()
+        raise self._given_up(last_fault)
+
+    def _attempt(self) -> Finish:
+        reservation = self._reserve()
+        engines = self._engines(reservation)
+        if not engines:
+            self._release(reservation, failed=True)
+            raise EngineNotRunError('The engine chosen has gone.')
+        self._ports.reaper.opened(reservation.attempt_id, engines[0])
+        try:
+            finish = self._exchange(reservation, engines)
+        except (EngineNotRunError, EngineRejectedError) as exc:
+            self._ports.reaper.ended(reservation.attempt_id)
+            self._release(reservation, failed=True)
+            if isinstance(exc, EngineRejectedError):
+                raise self._rejected(exc) from exc
+            raise
+        except BaseException:
+            self._ports.reaper.cancel(reservation, engines, self._position)
+            raise
+        self._ports.reaper.ended(reservation.attempt_id)
+        self._release(reservation, failed=False)
+        return finish
+
+    def _reserve(self) -> Reservation:
+        attempt_id = uuid.uuid4().hex
+        work = self._request.work
+        gone = self._request.gone
+        with gone.acting(lambda: self._ports.reservations.abandon(work)):
+            granted = self._ports.reservations.reserve(work, attempt_id)
+        if isinstance(granted, Refusal):
+            self._check_gone()
+            raise refusal_error(granted, self.run_state)
+        if gone.happened:
+            self._release(granted, failed=False)
+            raise CallerGoneError
+        return granted
+
+    def _engines(self, reservation: Reservation) -> tuple[UpstreamRecord, ...]:
+        found = []
+        for upstream_id in reservation.upstream_ids:
+            record = self._ports.upstreams.get(upstream_id)
+            if record is None:
+                return ()
+            found.append(record)
+        return tuple(found)
+
+    def _exchange(
+        self, reservation: Reservation, engines: tuple[UpstreamRecord, ...]
+    ) -> Finish:
+        order = self._order(reservation, engines)
+        # From here on the engine may have begun, until it says otherwise.
+        ran_before = self._may_have_run
+        self._may_have_run = True
+        try:
+            stream = self._ports.client.generate(
+                engines[0].address, order, reservation.start_by
+            )
+            return self._relay_all(stream, reservation)
+        except (EngineNotRunError, EngineRejectedError):
+            self._may_have_run = ran_before
+            raise
+
+    def _relay_all(
+        self, stream: TokenStream, reservation: Reservation
+    ) -> Finish:
+        self._ports.reservations.started(reservation)
+        with closing(stream), self._request.gone.acting(stream.interrupt):
+            return self._relay(stream, reservation)
+
+    def _order(
+        self, reservation: Reservation, engines: tuple[UpstreamRecord, ...]
+    ) -> GenerateOrder:
+        request = self._request
+        return GenerateOrder(
+            reservation.attempt_id,
+            request.work.request_id,
+            request.call.shared_members,
+            request.work.most_output_tokens,
+            reservation.priority,
+            self._ports.owner,
+            reservation.memory_tokens,
+            tuple(str(engine.address) for engine in engines[1:]),
+            self._position,
+            ''.join(self._texts),
+            request.deadline.left(),
+        )
+
+    def _relay(self, stream: TokenStream, reservation: Reservation) -> Finish:
+        told = -_PROGRESS_TOKENS
+        while True:
+            try:
+                batch = stream.read(self._request.deadline.moment)
+            except EngineBrokenError:
+                self._check()
+                raise
+            self._check_gone()
+            self._take(batch)
+            if self._position - told >= _PROGRESS_TOKENS:
+                told = self._position
+                self._ports.reservations.progress(reservation, told)
+            if batch.finish is not None:
+                self._check_whole(batch.finish)
+                return batch.finish
+
+    def _take(self, batch: Batch) -> None:
+        fresh: list[Piece] = []
+        position = self._position
+        for piece in batch.pieces:
+            end = piece.position + piece.token_count
+            if end <= position:
+                # The engine doubled what was relayed before.
+                continue
+            if piece.position != position:
+                self._pass_on(fresh, position)
+                raise EngineBrokenError(
+                    f'A token is missing at position {position}.'
+                )
+            fresh.append(piece)
+            position = end
+        self._pass_on(fresh, position)
+
+    def _pass_on(self, fresh: list[Piece], position: int) -> None:
+        if not fresh:
+            return
+        self._position = position
+        for piece in fresh:
+            self._texts.append(piece.text)
+        self._sink.pieces(fresh)
+
+    def _check_whole(self, finish: Finish) -> None:
+        if finish.output_tokens != self._position:
+            raise EngineBrokenError(
+                f'The answer ended at token {self._position} '
+                f'of {finish.output_tokens}.'
+            )
+
+    def _full(self) -> Finish:
+        """Return the terminator of an answer that only lacks its own."""
+        return Finish(
+            _LENGTH_REASON, self._request.work.prompt_tokens, self._position
+        )
+
+    def _wait(self, duration: int) -> None:
+        # Jitter only: the number guards nothing.
+        jitter = random.uniform(_JITTER_LEAST, 1)  # noqa: S311
+        left = self._request.deadline.left()
+        self._request.gone.wait(min(int(duration * jitter), left))
+
+    def _check(self) -> None:
+        self._check_gone()
+        if self._request.deadline.passed():
+            raise CallerError(
+                _GATEWAY_TIMEOUT,
+                'time_limit',
+                'The time limit passed before the answer was whole; '
+                'send the request again with a longer X-Time-Limit-Ms.',
+                run_state=self.run_state,
+            )
+
+    def _check_gone(self) -> None:
+        if self._request.gone.happened:
+            raise CallerGoneError
+
+    def _release(self, reservation: Reservation, *, failed: bool) -> None:
+        self._ports.reservations.release(
+            reservation, output_tokens=self._position, failed=failed
+        )
+
+    def _rejected(self, fault: EngineRejectedError) -> CallerError:
+        return CallerError(
+            fault.status,
+            'rejected_by_engine',
+            f'{fault}',
+            run_state=self.run_state,
+        )
+
+    def _given_up(self, fault: Exception) -> CallerError:
+        if self._may_have_run:
+            return CallerError(
+                _BAD_GATEWAY,
+                'attempts_exhausted',
+                f'{fault} No attempt is left; send the request again.',
+                run_state=RunState.MAY_HAVE_RUN,
+                retry_after=_RETRY_AFTER_MS,
+            )
+        return CallerError(
+            _UNAVAILABLE,
+            'no_upstream',
+            f'{fault} Send the request again later.',
+            retry_after=_RETRY_AFTER_MS,
+        )
--- /dev/null
+++ b/verbenathread/entry/settler.py
@@ -0,0 +1,119 @@
+"""Records the outcomes of claimed calls, again and again until answered."""
+
+import threading
+from collections import deque
+from typing import NamedTuple
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.entry.ports import Claims
+from verbenathread.exceptions import VerbenathreadError
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import control_pb2
+from verbenathread.types import Millis
+
+# Times in ms.
+_CALL_TIMEOUT = 2000
+_FIRST_WAIT = 50
+_LONGEST_WAIT = 5000
+# Most outcomes kept while control is away; their claims turn to unknown.
+_MOST_PENDING = 10_000
+_FINAL_CODES = frozenset(
+    (
+        control_pb2.OK,
+        control_pb2.CONFLICT,
+        control_pb2.INVALID,
+        control_pb2.DENIED,
+        control_pb2.NOT_FOUND,
+    )
+)
+
+_log = get_logger('claims')
+
+
+class _Pending(NamedTuple):
+    request: control_pb2.SettleRequest
+    # After this the claim has turned to unknown by itself.
+    until: Millis
+
+
+class Settler:
+    """One thread that settles claims while callers have their answers."""
+
+    def __init__(self, claims: Claims, clock: Clock) -> None:
+        """Start nothing before :meth:`start`."""
+        self._claims = claims
+        self._clock = clock
+        self._pending: deque[_Pending] = deque()
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name='settler', daemon=True
+        )
+
+    @property
+    def pending(self) -> int:
+        """Return how many outcomes are not recorded yet."""
+        with self._changed:
+            return len(self._pending)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self, limit: Millis) -> None:
+        """Wait up to ``limit`` ms for what is pending, then end."""
+        deadline = self._clock.now() + limit
+        with self._changed:
+            while self._pending and self._clock.now() < deadline:
+                left = deadline - self._clock.now()
+                self._changed.wait(seconds(max(1, left)))
+            self._stopping = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def settle(
+        self, request: control_pb2.SettleRequest, keep_for: Millis
+    ) -> None:
+        """Record an outcome, trying for ``keep_for`` ms; returns at once."""
+        with self._changed:
+            if len(self._pending) >= _MOST_PENDING:
+                _log.error('Too many outcomes are not recorded; one is lost.')
+                return
+            until = self._clock.now() + keep_for
+            self._pending.append(_Pending(request, until))
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        wait = _FIRST_WAIT
+        while True:
+            with self._changed:
+                while not self._pending and not self._stopping:
+                    self._changed.wait()
+                if self._stopping:
+                    return
+                pending = self._pending[0]
+            if self._try(pending):
+                wait = _FIRST_WAIT
+                self._done()
+                continue
+            with self._changed:
+                self._changed.wait(seconds(wait))
+            wait = min(wait * 2, _LONGEST_WAIT)
+
+    def _try(self, pending: _Pending) -> bool:
+        if self._clock.now() > pending.until:
+            _log.warning('An outcome could not be recorded in time.')
+            return True
+        try:
+            reply = self._claims.settle(pending.request, _CALL_TIMEOUT)
+        except (VerbenathreadError, OSError):
+            return False
+        except Exception:
+            _log.exception('Recording an outcome failed.')
+            return False
+        return reply.answer.code in _FINAL_CODES
+
+    def _done(self) -> None:
+        with self._changed:
+            self._pending.popleft()
+            self._changed.notify_all()
