Run control processes: calls, sessions, orders, and a client for operators

Cause: the state machine needed a process around it that nodes and operators reach, and a leader that looks after claims and upstreams. Weighed: a follower answers NOT_LEADER with the leader's address instead of forwarding, so that a resend keeps one path; followers report the nodes they hear to the leader each second instead of every node talking to the leader.

--- /dev/null
+++ b/verbenathread/admin/client.py
@@ -0,0 +1,278 @@
+"""Client of control for operators: finds the leader and resends safely."""
+
+import asyncio
+import contextlib
+import uuid
+from collections.abc import Sequence
+from typing import Any, NoReturn, TypeVar
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from verbenathread.clock import MS_PER_SECOND, seconds
+from verbenathread.exceptions import (
+    ConflictError,
+    DeniedError,
+    SettingsError,
+    UnavailableError,
+    UnknownOutcomeError,
+    UsageError,
+)
+from verbenathread.schema import control_pb2
+from verbenathread.schema.control_grpc import ControlStub
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Address, Millis
+
+# How long a call looks for a leader that answers, in ms.
+USUAL_LIMIT: Millis = 15_000
+_CALL_LIMIT: Millis = 6000
+_PAUSE: Millis = 200
+_BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
+_ASK_ANOTHER = frozenset(
+    (
+        control_pb2.NOT_LEADER,
+        control_pb2.NO_QUORUM,
+        control_pb2.UNKNOWN_OUTCOME,
+    )
+)
+_Reply = TypeVar('_Reply')
+
+
+class BranchConflictError(ConflictError):
+    """Another change came first; ``current`` is what stands now."""
+
+    def __init__(self, message: str, current: control_pb2.Branch) -> None:
+        """Keep the branch beside the message."""
+        super().__init__(message)
+        self.current = current
+
+
+class ControlClient:
+    """Calls whichever control process leads.
+
+    A call whose answer was lost is sent again under the same operation
+    identifier, so it takes effect once and gets its first answer.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        operator_name: str,
+        operator_key: str,
+        limit: Millis = USUAL_LIMIT,
+    ) -> None:
+        """Ask the control processes at ``addresses``."""
+        self._addresses = list(addresses)
+        self._limit = limit
+        self._channel_by_address: dict[Address, Channel] = {}
+        self._credentials = {
+            'operator_name': operator_name,
+            'operator_key': operator_key,
+        }
+
+    async def change(
+        self,
+        path: str,
+        text: str,
+        expected_revision: int,
+        *,
+        remove: bool = False,
+        comment: str = '',
+        operation_id: str = '',
+    ) -> int:
+        """Change a branch and return its new revision.
+
+        Raises :class:`BranchConflictError` when the branch does not stand at
+        ``expected_revision``.
+        """
+        request = control_pb2.ChangeRequest(
+            operation_id=operation_id or new_operation(),
+            path=path,
+            text=text,
+            expected_revision=expected_revision,
+            remove=remove,
+            comment=comment,
+            **self._credentials,
+        )
+        reply = await self._call('Change', request, control_pb2.ChangeReply)
+        if reply.answer.code == control_pb2.CONFLICT:
+            raise BranchConflictError(reply.answer.message, reply.current)
+        return reply.revision
+
+    async def read_tree(
+        self, path: str = '/', *, may_be_stale: bool = False
+    ) -> control_pb2.ReadTreeReply:
+        """Return the branches at and below ``path``."""
+        request = control_pb2.ReadTreeRequest(
+            path=path, may_be_stale=may_be_stale, **self._credentials
+        )
+        return await self._call('ReadTree', request, control_pb2.ReadTreeReply)
+
+    async def history(self, path: str, limit: int) -> control_pb2.HistoryReply:
+        """Return the last accepted changes of a branch, newest first."""
+        request = control_pb2.HistoryRequest(
+            path=path, limit=limit, **self._credentials
+        )
+        return await self._call('History', request, control_pb2.HistoryReply)
+
+    async def audit(
+        self, after_index: int, limit: int, path: str
+    ) -> control_pb2.AuditReply:
+        """Return records of the audit trail, oldest first."""
+        request = control_pb2.AuditRequest(
+            after_index=after_index,
+            limit=limit,
+            path=path,
+            **self._credentials,
+        )
+        return await self._call('Audit', request, control_pb2.AuditReply)
+
+    async def status(self) -> control_pb2.StatusReply:
+        """Return the group, the nodes, the upstreams and their orders."""
+        request = control_pb2.StatusRequest(**self._credentials)
+        return await self._call('Status', request, control_pb2.StatusReply)
+
+    async def order(
+        self,
+        upstream_id: str,
+        action: str,
+        subject: str,
+        *,
+        address: str = '',
+        service: str = '',
+    ) -> control_pb2.OrderReply:
+        """Set what an upstream is wanted to be."""
+        request = control_pb2.OrderRequest(
+            operation_id=new_operation(),
+            upstream_id=upstream_id,
+            action=action,
+            subject=subject,
+            address=address,
+            service=service,
+            **self._credentials,
+        )
+        return await self._call('PlaceOrder', request, control_pb2.OrderReply)
+
+    async def change_member(
+        self, action: str, node_id: str, address: str = ''
+    ) -> None:
+        """Add, promote or remove a member of the control group."""
+        request = control_pb2.MemberRequest(
+            operation_id=new_operation(),
+            action=action,
+            node_id=node_id,
+            address=address,
+            **self._credentials,
+        )
+        await self._call('ChangeMember', request, control_pb2.MemberReply)
+
+    def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channel_by_address.values():
+            channel.close()
+        self._channel_by_address.clear()
+
+    async def _call(
+        self, method: str, request: Any, kind: type[_Reply]
+    ) -> _Reply:
+        """Ask until somebody decides, at most for the limit of a call."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds(self._limit)
+        search = _Search(self._addresses)
+        while loop.time() < end:
+            left = int((end - loop.time()) * MS_PER_SECOND)
+            reply = await self._ask(search, method, request, left)
+            if reply is not None:
+                code = reply.answer.code
+                if code not in _ASK_ANOTHER:
+                    _raise_refusal(reply.answer)
+                    return reply  # type: ignore[no-any-return]
+                search.take(reply.answer)
+            if search.went_round():
+                await asyncio.sleep(seconds(_PAUSE))
+        search.give_up()
+
+    async def _ask(
+        self, search: '_Search', method: str, request: Any, left: Millis
+    ) -> Any:
+        """Return the reply of the next process, or None if none came."""
+        address = search.next_address()
+        limit = seconds(max(1, min(left, _CALL_LIMIT)))
+        call = getattr(ControlStub(self._channel(address)), method)
+        try:
+            return await asyncio.wait_for(call(request, timeout=limit), limit)
+        except _BROKEN as error:
+            search.failed(address, error)
+        return None
+
+    def _channel(self, address: Address) -> Channel:
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = Channel(address.host, address.port)
+            self._channel_by_address[address] = channel
+        return channel
+
+
+class _Search:
+    """Where one call goes next, and what came of it so far."""
+
+    def __init__(self, addresses: Sequence[Address]) -> None:
+        self._addresses = list(addresses)
+        self._asked = 0
+        self._hint: Address | None = None
+        self._last = 'no control process was asked'
+        self._unknown = False
+
+    def next_address(self) -> Address:
+        hint = self._hint
+        if hint is not None:
+            self._hint = None
+            return hint
+        address = self._addresses[self._asked % len(self._addresses)]
+        self._asked += 1
+        return address
+
+    def went_round(self) -> bool:
+        """Tell whether everybody was asked since the last pause."""
+        if self._hint is not None:
+            return False
+        return self._asked % len(self._addresses) == 0
+
+    def take(self, answer: control_pb2.Answer) -> None:
+        self._last = answer.message
+        if answer.code == control_pb2.UNKNOWN_OUTCOME:
+            self._unknown = True
+        if answer.leader:
+            with contextlib.suppress(SettingsError):
+                self._hint = parse_address(answer.leader)
+
+    def failed(self, address: Address, error: Exception) -> None:
+        self._last = f'{address}: {error or type(error).__name__}'
+        # A refused connect is the one break that surely carried nothing.
+        if not isinstance(error, ConnectionRefusedError):
+            self._unknown = True
+
+    def give_up(self) -> NoReturn:
+        if self._unknown:
+            raise UnknownOutcomeError(
+                f'no control process confirmed it ({self._last}); look at '
+                + 'the audit trail before you repeat it'
+            )
+        raise UnavailableError(
+            f'no control process leads now ({self._last}); see that a '
+            + 'majority runs, then try again'
+        )
+
+
+def new_operation() -> str:
+    """Return a fresh operation identifier."""
+    return uuid.uuid4().hex
+
+
+def _raise_refusal(answer: control_pb2.Answer) -> None:
+    if answer.code == control_pb2.DENIED:
+        raise DeniedError(answer.message)
+    if answer.code == control_pb2.INVALID:
+        raise SettingsError(answer.message)
+    if answer.code == control_pb2.NOT_FOUND:
+        raise UsageError(answer.message)
--- /dev/null
+++ b/verbenathread/control/answers.py
@@ -0,0 +1,37 @@
+"""Answers for errors of the replicated log, alike for every call."""
+
+from verbenathread.exceptions import (
+    NotLeaderError,
+    UnknownOutcomeError,
+    VerbenathreadError,
+)
+from verbenathread.schema import control_pb2
+
+_ASK_AGAIN = 500
+
+
+def answer_of(error: VerbenathreadError) -> control_pb2.Answer:
+    """Return the answer that tells a caller of ``error``."""
+    if isinstance(error, NotLeaderError) and error.leader:
+        return control_pb2.Answer(
+            code=control_pb2.NOT_LEADER,
+            message=str(error),
+            leader=error.leader,
+            retry_after_ms=_ASK_AGAIN,
+        )
+    code = control_pb2.NO_QUORUM
+    if isinstance(error, UnknownOutcomeError):
+        code = control_pb2.UNKNOWN_OUTCOME
+    return control_pb2.Answer(
+        code=code, message=str(error), retry_after_ms=_ASK_AGAIN
+    )
+
+
+def ok() -> control_pb2.Answer:
+    """Return the answer to a call that was done."""
+    return control_pb2.Answer(code=control_pb2.OK)
+
+
+def invalid(message: str) -> control_pb2.Answer:
+    """Return the answer to a call that can't be used as written."""
+    return control_pb2.Answer(code=control_pb2.INVALID, message=message)
--- /dev/null
+++ b/verbenathread/control/daemon.py
@@ -0,0 +1,173 @@
+"""One control process: a replica of the log, its service and its duties."""
+
+import asyncio
+import socket
+from random import Random
+
+from grpclib.server import Server
+
+from verbenathread.clock import SystemClock, seconds
+from verbenathread.consensus.disk import FileStorage
+from verbenathread.consensus.replica import Replica
+from verbenathread.consensus.rpc import ConsensusService, RpcTransport
+from verbenathread.consensus.settings import ReplicaSettings
+from verbenathread.control.machine import ControlMachine
+from verbenathread.control.node_reports import REPORT_EVERY, NodeReporter
+from verbenathread.control.nodes import NodeTable
+from verbenathread.control.operator_calls import OperatorCalls
+from verbenathread.control.order_http import HttpUpstreams
+from verbenathread.control.orders import OrderSender
+from verbenathread.control.proposals import Proposals
+from verbenathread.control.service import ControlService
+from verbenathread.control.sessions import Sessions
+from verbenathread.control.sweeper import ClaimSweeper
+from verbenathread.exceptions import VerbenathreadError
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import settings_pb2
+from verbenathread.settings.node import parse_address, parse_peers
+from verbenathread.types import Millis, Peer
+
+_ORDER_STEP: Millis = 200
+_SWEEP_STEP: Millis = 500
+_WAKE_STEP: Millis = 1000
+
+_log = get_logger('control')
+
+
+class ControlDaemon:
+    """A control process that other programs can embed."""
+
+    def __init__(self, settings: settings_pb2.NodeSettings) -> None:
+        """Wire the parts; nothing runs before :meth:`start`."""
+        node = settings.node
+        control = settings.control
+        clock = SystemClock()
+        self._listen = parse_address(control.listen)
+        self.machine = ControlMachine()
+        self.nodes = NodeTable(clock)
+        self._transport = RpcTransport(node.cluster, node.node_key)
+        self.replica = Replica(
+            settings=_replica_settings(settings),
+            storage=FileStorage(control.data_folder),
+            machine=self.machine,
+            transport=self._transport,
+            clock=clock,
+            random=Random(),
+        )
+        self.sessions = Sessions(self.machine.tree, self.nodes)
+        self._reporter = NodeReporter(node.cluster, node.node_key, self.nodes)
+        proposals = Proposals(self.replica, self.machine, clock)
+        self._sweeper = ClaimSweeper(self.machine, self.nodes, proposals, clock)
+        self.orders = OrderSender(
+            log=self.replica,
+            machine=self.machine,
+            upstreams=HttpUpstreams(),
+            clock=clock,
+            lease=control.election_timeout,
+        )
+        self._service = ControlService(
+            cluster=node.cluster,
+            node_key=node.node_key,
+            operators=OperatorCalls(
+                log=self.replica,
+                machine=self.machine,
+                proposals=proposals,
+                nodes=self.nodes,
+                orders=self.orders.statuses,
+                root_key_sha256=control.root_key_sha256,
+            ),
+            proposals=proposals,
+            sessions=self.sessions,
+            nodes=self.nodes,
+        )
+        self._server = Server(
+            [
+                self._service,
+                ConsensusService(self.replica, node.cluster, node.node_key),
+            ]
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, sock: socket.socket | None = None) -> None:
+        """Load the data folder, listen and take part in the group.
+
+        ``sock`` is a bound socket to use instead of the address in the
+        settings. Raises StorageError for a folder that can't be trusted.
+        """
+        if sock is None:
+            await self._server.start(self._listen.host, self._listen.port)
+        else:
+            await self._server.start(sock=sock)
+        await self.replica.start()
+        for duty in (self._wake, self._lead, self._order, self._report):
+            self._tasks.append(asyncio.create_task(duty()))
+        _log.info('Control runs.', listen=str(self._listen))
+
+    async def stop(self) -> None:
+        """Hand leadership over, answer what is in progress, and end."""
+        await self.orders.stop()
+        await self.replica.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._reporter.close()
+        self._transport.close()
+        self._server.close()
+        await self._server.wait_closed()
+        _log.info('Control stopped.')
+
+    async def failed(self) -> str:
+        """Return why the replica stopped by itself, once it did."""
+        while not self.replica.status().failure:
+            await asyncio.sleep(seconds(_SWEEP_STEP))
+        return self.replica.status().failure
+
+    async def _wake(self) -> None:
+        """Let sessions look for what is newer after each command."""
+        applied = 0
+        while True:
+            applied = await self.replica.wait_applied(applied, _WAKE_STEP)
+            self.sessions.wake(self.replica.status().leader_address)
+
+    async def _lead(self) -> None:
+        led = False
+        while True:
+            leads = self.replica.status().is_leader
+            if leads and not led:
+                self._sweeper.reset()
+            led = leads
+            if leads:
+                await self._sweep()
+            await asyncio.sleep(seconds(_SWEEP_STEP))
+
+    async def _sweep(self) -> None:
+        try:
+            await self._sweeper.sweep()
+        except VerbenathreadError as error:
+            _log.warning('Claims of a gone owner wait.', reason=str(error))
+
+    async def _order(self) -> None:
+        while True:
+            self.orders.step()
+            await asyncio.sleep(seconds(_ORDER_STEP))
+
+    async def _report(self) -> None:
+        """Tell the leader of this process's sessions, each second."""
+        while True:
+            status = self.replica.status()
+            if status.leader_address and not status.is_leader:
+                await self._reporter.report(status.leader_address)
+            await asyncio.sleep(seconds(REPORT_EVERY))
+
+
+def _replica_settings(settings: settings_pb2.NodeSettings) -> ReplicaSettings:
+    control = settings.control
+    return ReplicaSettings(
+        me=Peer(settings.node.id, parse_address(control.listen)),
+        cluster=settings.node.cluster,
+        first_members=parse_peers(control.voters),
+        join=control.join,
+        election_timeout=control.election_timeout,
+        heartbeat=control.heartbeat,
+        snapshot_records=control.snapshot_records,
+    )
--- /dev/null
+++ b/verbenathread/control/node_reports.py
@@ -0,0 +1,70 @@
+"""Tells the leader of the nodes that hold a session with this process."""
+
+import asyncio
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from verbenathread.control.nodes import NodeTable
+from verbenathread.schema import control_pb2
+from verbenathread.schema.control_grpc import ControlStub
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Millis
+
+# Time between two reports to the leader, in ms.
+REPORT_EVERY: Millis = 1000
+_REPORT_LIMIT = 2.0
+_BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
+
+
+class NodeReporter:
+    """Keeps one channel to whoever leads."""
+
+    def __init__(self, cluster: str, node_key: str, nodes: NodeTable) -> None:
+        """Report what ``nodes`` holds."""
+        self._cluster = cluster
+        self._node_key = node_key
+        self._nodes = nodes
+        self._leader = ''
+        self._channel: Channel | None = None
+        # What this leader has of the upstreams; only what differs is sent.
+        self._told_by_upstream: dict[str, control_pb2.UpstreamStatus] = {}
+
+    async def report(self, leader: str) -> bool:
+        """Send one report to the leader; False when it did not arrive."""
+        if leader != self._leader:
+            self.close()
+            self._leader = leader
+        if self._channel is None:
+            address = parse_address(leader)
+            self._channel = Channel(address.host, address.port)
+        upstreams = self._upstreams_untold()
+        request = control_pb2.NodesReport(
+            cluster=self._cluster,
+            node_key=self._node_key,
+            nodes=self._nodes.statuses(),
+            upstreams=upstreams,
+        )
+        try:
+            await asyncio.wait_for(
+                ControlStub(self._channel).ReportNodes(request), _REPORT_LIMIT
+            )
+        except _BROKEN:
+            return False
+        for status in upstreams:
+            self._told_by_upstream[status.upstream_id] = status
+        return True
+
+    def close(self) -> None:
+        """Close the channel."""
+        if self._channel is not None:
+            self._channel.close()
+        self._channel = None
+        self._told_by_upstream.clear()
+
+    def _upstreams_untold(self) -> list[control_pb2.UpstreamStatus]:
+        return [
+            status
+            for status in self._nodes.upstreams()
+            if self._told_by_upstream.get(status.upstream_id) != status
+        ]
--- /dev/null
+++ b/verbenathread/control/operator_calls.py
@@ -0,0 +1,259 @@
+"""What operators may ask of a control process; the leader answers."""
+
+from collections.abc import Callable, Sequence
+
+from verbenathread.control.access import credential_of
+from verbenathread.control.answers import answer_of, invalid, ok
+from verbenathread.control.machine import ControlMachine
+from verbenathread.control.nodes import NodeTable
+from verbenathread.control.ports import ControlLog
+from verbenathread.control.proposals import (
+    CHANGE_LIMIT,
+    Proposals,
+    RefusedOperatorError,
+)
+from verbenathread.exceptions import (
+    SettingsError,
+    UsageError,
+    VerbenathreadError,
+)
+from verbenathread.schema import commands_pb2, control_pb2
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Peer
+
+_MOST_RECORDS = 1000
+_USUAL_RECORDS = 50
+_MEMBER_LIMIT = 30_000
+
+OrderStates = Callable[[], Sequence[control_pb2.OrderStatus]]
+_Credentials = (
+    control_pb2.ChangeRequest
+    | control_pb2.ReadTreeRequest
+    | control_pb2.HistoryRequest
+    | control_pb2.AuditRequest
+    | control_pb2.StatusRequest
+    | control_pb2.OrderRequest
+    | control_pb2.MemberRequest
+)
+
+
+class OperatorCalls:
+    """Answers operators from the log and the state built from it."""
+
+    def __init__(
+        self,
+        *,
+        log: ControlLog,
+        machine: ControlMachine,
+        proposals: Proposals,
+        nodes: NodeTable,
+        orders: OrderStates,
+        root_key_sha256: str,
+    ) -> None:
+        """Check keys against the tree and ``root_key_sha256``."""
+        self._log = log
+        self._machine = machine
+        self._proposals = proposals
+        self._nodes = nodes
+        self._orders = orders
+        self._root_key_sha256 = root_key_sha256
+
+    async def change(
+        self, request: control_pb2.ChangeRequest
+    ) -> control_pb2.ChangeReply:
+        """Change one branch."""
+        return await self._proposals.change(
+            commands_pb2.ChangeCommand(
+                operation_id=request.operation_id,
+                credential=self._credential(request),
+                path=request.path,
+                text=request.text,
+                expected_revision=request.expected_revision,
+                remove=request.remove,
+                comment=request.comment,
+            )
+        )
+
+    async def read_tree(
+        self, request: control_pb2.ReadTreeRequest
+    ) -> control_pb2.ReadTreeReply:
+        """Return the branches at and below a path."""
+        try:
+            await self._allow_read(request)
+        except (VerbenathreadError, RefusedOperatorError) as error:
+            return control_pb2.ReadTreeReply(answer=_refusal(error))
+        return control_pb2.ReadTreeReply(
+            answer=ok(),
+            revision=self._machine.tree.revision(),
+            branches=self._machine.tree.branches(request.path or '/'),
+        )
+
+    async def history(
+        self, request: control_pb2.HistoryRequest
+    ) -> control_pb2.HistoryReply:
+        """Return the last accepted changes of one branch, newest first."""
+        try:
+            await self._proposals.require_operator(self._credential(request))
+        except (VerbenathreadError, RefusedOperatorError) as error:
+            return control_pb2.HistoryReply(answer=_refusal(error))
+        return control_pb2.HistoryReply(
+            answer=ok(),
+            records=self._machine.audit.history(
+                request.path, _bounded(request.limit)
+            ),
+        )
+
+    async def audit(
+        self, request: control_pb2.AuditRequest
+    ) -> control_pb2.AuditReply:
+        """Return records of the audit trail, oldest first."""
+        try:
+            await self._proposals.require_operator(self._credential(request))
+        except (VerbenathreadError, RefusedOperatorError) as error:
+            return control_pb2.AuditReply(answer=_refusal(error))
+        return control_pb2.AuditReply(
+            answer=ok(),
+            records=self._machine.audit.after(
+                request.after_index, _bounded(request.limit), request.path
+            ),
+        )
+
+    async def status(
+        self, request: control_pb2.StatusRequest
+    ) -> control_pb2.StatusReply:
+        """Return the group, the nodes and the upstreams.
+
+        While nobody leads, the answer is NO_QUORUM with this process's view.
+        """
+        try:
+            await self._proposals.require_operator(self._credential(request))
+        except RefusedOperatorError as refused:
+            return control_pb2.StatusReply(answer=refused.answer)
+        except VerbenathreadError as error:
+            answer = answer_of(error)
+            if answer.code == control_pb2.NOT_LEADER:
+                return control_pb2.StatusReply(answer=answer)
+            return self._view(answer)
+        return self._view(ok())
+
+    async def place_order(
+        self, request: control_pb2.OrderRequest
+    ) -> control_pb2.OrderReply:
+        """Set what an upstream is wanted to be."""
+        address = request.address
+        service = request.service
+        known = self._nodes.upstream(request.upstream_id)
+        if known is not None:
+            address = address or known.address
+            service = service or known.service
+        try:
+            parse_address(address)
+        except SettingsError as error:
+            return control_pb2.OrderReply(answer=invalid(str(error)))
+        if not request.upstream_id:
+            return control_pb2.OrderReply(answer=invalid('name the upstream'))
+        return await self._proposals.order(
+            commands_pb2.OrderCommand(
+                operation_id=request.operation_id,
+                credential=self._credential(request),
+                upstream_id=request.upstream_id,
+                address=address,
+                service=service,
+                action=request.action,
+                subject=request.subject,
+            )
+        )
+
+    async def change_member(
+        self, request: control_pb2.MemberRequest
+    ) -> control_pb2.MemberReply:
+        """Add, promote or remove a member of the control group."""
+        try:
+            await self._change_member(request)
+        except (VerbenathreadError, RefusedOperatorError) as error:
+            return control_pb2.MemberReply(answer=_refusal(error))
+        return control_pb2.MemberReply(answer=ok())
+
+    async def _change_member(self, request: control_pb2.MemberRequest) -> None:
+        credential = self._credential(request)
+        await self._proposals.require_operator(credential, root=True)
+        record = commands_pb2.MemberCommand(
+            operation_id=request.operation_id,
+            operator_name=request.operator_name,
+            action=request.action,
+            node_id=request.node_id,
+            address=request.address,
+            result='asked',
+        )
+        peer = self._peer(request)
+        await self._record(record)
+        try:
+            await self._log.change_member(request.action, peer, _MEMBER_LIMIT)
+        except VerbenathreadError as error:
+            record.result = f'refused: {error}'
+            await self._record(record)
+            raise
+        record.result = 'accepted'
+        await self._record(record)
+
+    async def _record(self, record: commands_pb2.MemberCommand) -> None:
+        await self._proposals.propose(
+            commands_pb2.Command(member=record), CHANGE_LIMIT
+        )
+
+    def _peer(self, request: control_pb2.MemberRequest) -> Peer:
+        if request.address:
+            return Peer(request.node_id, parse_address(request.address))
+        for member in self._log.status().members:
+            if member.node_id == request.node_id:
+                return Peer(member.node_id, member.address)
+        raise UsageError(f'{request.node_id!r} is no member; give its address')
+
+    async def _allow_read(self, request: control_pb2.ReadTreeRequest) -> None:
+        credential = self._credential(request)
+        if request.may_be_stale:
+            self._proposals.check_operator(credential)
+            return
+        await self._proposals.require_operator(credential)
+
+    def _credential(self, request: _Credentials) -> commands_pb2.Credential:
+        return credential_of(
+            request.operator_name,
+            request.operator_key,
+            self._root_key_sha256,
+        )
+
+    def _view(self, answer: control_pb2.Answer) -> control_pb2.StatusReply:
+        status = self._log.status()
+        reply = control_pb2.StatusReply(
+            answer=answer,
+            leader=status.leader,
+            term=status.term,
+            commit_index=status.commit_index,
+            revision=self._machine.tree.revision(),
+            nodes=self._nodes.statuses(),
+            upstreams=self._nodes.upstreams(),
+            orders=self._orders(),
+        )
+        for member in status.members:
+            reply.members.add(
+                node_id=member.node_id,
+                address=str(member.address),
+                voter=member.voter,
+                match_index=member.match_index,
+            )
+        return reply
+
+
+def _refusal(error: Exception) -> control_pb2.Answer:
+    if isinstance(error, RefusedOperatorError):
+        return error.answer
+    if isinstance(error, (SettingsError, UsageError)):
+        return invalid(str(error))
+    if isinstance(error, VerbenathreadError):
+        return answer_of(error)
+    raise error
+
+
+def _bounded(limit: int) -> int:
+    return min(limit or _USUAL_RECORDS, _MOST_RECORDS)
--- /dev/null
+++ b/verbenathread/control/proposals.py
@@ -0,0 +1,213 @@
+"""Proposals to the log, checked before they are made."""
+
+from verbenathread.clock import Clock
+from verbenathread.control.access import denied, may_change, may_read
+from verbenathread.control.answers import answer_of, invalid
+from verbenathread.control.changes import RESULT_BY_CODE, decide_change
+from verbenathread.control.machine import (
+    ControlMachine,
+    ReusedOperationError,
+    hidden,
+)
+from verbenathread.control.operations import digest_of
+from verbenathread.control.ports import ControlLog
+from verbenathread.exceptions import VerbenathreadError
+from verbenathread.schema import commands_pb2, control_pb2
+from verbenathread.types import Millis
+
+CHANGE_LIMIT = 5000
+CLAIM_LIMIT = 3000
+_MOST_NAME = 128
+_MOST_COMMENT = 1000
+_MOST_DENIALS = 20
+_DENIAL_PERIOD = 1000
+
+
+class Proposals:
+    """Checks what callers ask for and puts it on the log."""
+
+    def __init__(
+        self, log: ControlLog, machine: ControlMachine, clock: Clock
+    ) -> None:
+        """Propose to ``log``, whose commands ``machine`` applies."""
+        self._log = log
+        self._machine = machine
+        self._clock = clock
+        self._denials = _DenialBudget(clock)
+
+    async def change(
+        self, change: commands_pb2.ChangeCommand
+    ) -> control_pb2.ChangeReply:
+        """Accept or refuse a change; both stand in the audit trail."""
+        problem = _name_problem(change.operation_id, change.comment)
+        if problem:
+            return control_pb2.ChangeReply(answer=invalid(problem))
+        try:
+            return await self._change(change)
+        except VerbenathreadError as error:
+            return control_pb2.ChangeReply(answer=answer_of(error))
+
+    async def order(
+        self, order: commands_pb2.OrderCommand
+    ) -> control_pb2.OrderReply:
+        """Place an order to an upstream; refusals are recorded too."""
+        problem = _name_problem(order.operation_id, order.subject)
+        if problem:
+            return control_pb2.OrderReply(answer=invalid(problem))
+        try:
+            return await self._order(order)
+        except VerbenathreadError as error:
+            return control_pb2.OrderReply(answer=answer_of(error))
+
+    async def claim(
+        self, request: control_pb2.ClaimRequest
+    ) -> control_pb2.ClaimReply:
+        """Record a claim on a quorum, or answer what became of it."""
+        command = commands_pb2.Command(claim=request)
+        command.claim.ClearField('node_key')
+        try:
+            reply = await self.propose(command, CLAIM_LIMIT)
+        except VerbenathreadError as error:
+            return control_pb2.ClaimReply(answer=answer_of(error))
+        return control_pb2.ClaimReply.FromString(reply)
+
+    async def settle(
+        self, request: control_pb2.SettleRequest
+    ) -> control_pb2.SettleReply:
+        """Record the outcome of an attempt on a quorum."""
+        command = commands_pb2.Command(settle=request)
+        command.settle.ClearField('node_key')
+        try:
+            reply = await self.propose(command, CLAIM_LIMIT)
+        except VerbenathreadError as error:
+            return control_pb2.SettleReply(answer=answer_of(error))
+        return control_pb2.SettleReply.FromString(reply)
+
+    async def propose(
+        self, command: commands_pb2.Command, limit: Millis
+    ) -> bytes:
+        """Stamp a command with the wall time and put it on the log."""
+        command.time_ms = self._clock.wall()
+        applied = await self._log.propose(command.SerializeToString(), limit)
+        return applied.result
+
+    async def require_operator(
+        self, credential: commands_pb2.Credential, *, root: bool = False
+    ) -> None:
+        """Make reads fresh, then raise unless the operator may do this."""
+        await self._log.barrier(CHANGE_LIMIT)
+        self.check_operator(credential, root=root)
+
+    def check_operator(
+        self, credential: commands_pb2.Credential, *, root: bool = False
+    ) -> None:
+        """Raise unless the operator may read.
+
+        With ``root``, the operator must have the right to change the root.
+        """
+        tree = self._machine.tree.effective()
+        allowed = may_read(tree, credential)
+        if root:
+            allowed = may_change(tree, credential, '/')
+        if not allowed:
+            raise RefusedOperatorError(denied(credential.operator_name))
+
+    async def _change(
+        self, change: commands_pb2.ChangeCommand
+    ) -> control_pb2.ChangeReply:
+        await self._log.barrier(CHANGE_LIMIT)
+        digest = digest_of(change)
+        try:
+            earlier = self._machine.remembered(change.operation_id, digest)
+        except ReusedOperationError as error:
+            return error.change_reply()
+        if earlier is not None:
+            return control_pb2.ChangeReply.FromString(earlier)
+        reply = decide_change(self._machine.tree, change)
+        command = commands_pb2.Command(change=change)
+        if reply.answer.code != control_pb2.OK:
+            denial = reply.answer.code == control_pb2.DENIED
+            if denial and not self._denials.take():
+                return reply
+            command = self._refusal(change, digest, reply)
+        return control_pb2.ChangeReply.FromString(
+            await self.propose(command, CHANGE_LIMIT)
+        )
+
+    async def _order(
+        self, order: commands_pb2.OrderCommand
+    ) -> control_pb2.OrderReply:
+        await self._log.barrier(CHANGE_LIMIT)
+        answer = self._machine.decide_order(order)
+        if answer.code == control_pb2.DENIED and not self._denials.take():
+            return control_pb2.OrderReply(answer=answer)
+        reply = await self.propose(
+            commands_pb2.Command(order=order), CHANGE_LIMIT
+        )
+        return control_pb2.OrderReply.FromString(reply)
+
+    def _refusal(
+        self,
+        change: commands_pb2.ChangeCommand,
+        digest: str,
+        reply: control_pb2.ChangeReply,
+    ) -> commands_pb2.Command:
+        """Return the record of a refusal, without the refused text."""
+        code = reply.answer.code
+        outcome = RESULT_BY_CODE[code]
+        if code == control_pb2.INVALID:
+            text = None if change.remove else change.text
+            places = self._machine.tree.places(change.path, text)
+            outcome = f'{outcome}: {"; ".join(places)}'[:_MOST_COMMENT]
+        denial = code == control_pb2.DENIED
+        return commands_pb2.Command(
+            refusal=commands_pb2.RefusalCommand(
+                operation_id=change.operation_id,
+                digest='' if denial else digest,
+                operator_name=change.credential.operator_name[:_MOST_NAME],
+                action='remove' if change.remove else 'change',
+                subject=change.path[:_MOST_COMMENT],
+                expected_revision=change.expected_revision,
+                comment=change.comment,
+                result=outcome,
+                text_sha256=hidden(change.text),
+                reply=reply,
+            )
+        )
+
+
+class RefusedOperatorError(Exception):
+    """An operator may not do what was asked; holds the answer."""
+
+    def __init__(self, answer: control_pb2.Answer) -> None:
+        """Keep the answer."""
+        super().__init__(answer.message)
+        self.answer = answer
+
+
+class _DenialBudget:
+    """How many denials a second are written to the log.
+
+    Anyone who reaches the port can be denied, so the rate is bounded.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._left = _MOST_DENIALS
+        self._since = 0
+
+    def take(self) -> bool:
+        now = self._clock.now()
+        if now - self._since >= _DENIAL_PERIOD:
+            self._since = now
+            self._left = _MOST_DENIALS
+        self._left -= 1
+        return self._left >= 0
+
+
+def _name_problem(operation_id: str, comment: str) -> str:
+    if not operation_id or len(operation_id) > _MOST_NAME:
+        return f'give an operation identifier of 1 to {_MOST_NAME} characters'
+    if len(comment) > _MOST_COMMENT:
+        return f'write at most {_MOST_COMMENT} characters'
+    return ''
--- a/verbenathread/daemons.py
+++ b/verbenathread/daemons.py
@@ -37,7 +37,7 @@
 
 async def _serve_control(settings: settings_pb2.NodeSettings) -> None:
     # Only this role needs the replicated log.
-    from verbenathread.control.daemon import ControlDaemon  # type: ignore[import-not-found]
+    from verbenathread.control.daemon import ControlDaemon
 
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
