Test attempts that break, cross, double, come late or are cancelled

Cause: the relay's checks of attempt and position had no failing engine. Before: an order that reached the engine after its cancel was held for ever (seen in the first run of the late-answer test). After: the interface asks engines to remember a cancel, and the reaper's reconciliation ends what an engine that forgets it holds. Ruled out: holding a release back for a fixed time; it guesses a delay.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -36,12 +36,17 @@
         }
         self.refused_cancels = 0
         self.generated = 0
+        self.arrived = 0
+        self.cancelled = set()
         self.prefill = threading.Lock()
 
     def open(self, order):
         """Hold memory for an attempt; False if there is no room."""
         wanted = order.get('memory_tokens', 0)
         with self.lock:
+            self.arrived += 1
+            if order['attempt_id'] in self.cancelled:
+                return False
             held = sum(
                 hold['memory_tokens'] for hold in self.hold_by_attempt.values()
             )
@@ -67,6 +72,9 @@
             if self.refused_cancels < self.options.refuse_cancels:
                 self.refused_cancels += 1
                 return attempt_id in self.hold_by_attempt
+            if not self.options.forget_cancels:
+                # The attempt may arrive after its cancel.
+                self.cancelled.add(attempt_id)
             self.hold_by_attempt.pop(attempt_id, None)
             return False
 
@@ -179,13 +187,10 @@
             self.refuse(503, 'no memory', (('Retry-After', '1'),))
             return
         self.start_lines()
-        try:
-            self.stream(order, attempt_id)
-        finally:
-            # An engine goes on with a stream whose reader has gone, until it
-            # is cancelled: that is what the cancels are for.
-            if options.leak != 'yes':
-                self.engine.close(attempt_id)
+        # A stream that breaks is held until it is cancelled: that is what
+        # cancels are for.
+        if self.stream(order, attempt_id):
+            self.engine.close(attempt_id)
 
     def stream(self, order, attempt_id):
         options = self.engine.options
@@ -197,10 +202,10 @@
         while position < end:
             if not self.engine.holds(attempt_id):
                 self.cut()
-                return
+                return False
             if position == options.die_at:
                 self.cut()
-                return
+                return False
             if position == options.cross_at:
                 named = 'another-attempt'
             if position == options.skip_at:
@@ -224,6 +229,7 @@
                 }
             )
         self.wfile.write(b'0\r\n\r\n')
+        return not options.truncate
 
     def start_lines(self):
         self.send_response(200)
@@ -261,15 +267,20 @@
     parser.add_argument('--double-at', type=int, default=-1)
     parser.add_argument('--skip-at', type=int, default=-1)
     parser.add_argument('--late', type=float, default=0)
+    parser.add_argument('--forget-cancels', action='store_true')
     parser.add_argument('--refuse-cancels', type=int, default=0)
-    parser.add_argument('--leak', choices=('yes', 'no'), default='no')
     return parser
 
 
+def engine_handler(options):
+    """Return the handler class of a new engine."""
+    return type('Handler', (EngineHandler,), {'engine': Engine(options)})
+
+
 def main():
     options = engine_parser().parse_args()
-    handler = type('Handler', (EngineHandler,), {'engine': Engine(options)})
-    serve(handler, options, {'memory_tokens': options.memory_tokens})
+    members = {'memory_tokens': options.memory_tokens}
+    serve(engine_handler(options), options, members)
 
 
 if __name__ == '__main__':
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -1,12 +1,15 @@
-"""Starts the stand-ins as processes and ends them by their id."""
+"""Starts the stand-ins, as processes or as threads of the test."""
 
 import json
 import os
 import signal
 import subprocess
 import sys
+import threading
 
-from tests.standins.serving import tell_entry
+from tests.standins.engine import engine_handler, engine_parser
+from tests.standins.service import service_handler, service_parser
+from tests.standins.serving import StandInServer, announcement, tell_entry
 
 
 class StandIn:
@@ -29,3 +32,34 @@
             os.kill(self.process.pid, signal.SIGKILL)
         self.process.wait()
         self.process.stdout.close()
+
+
+class LocalStandIn:
+    """A stand-in in a thread, whose state the test can read."""
+
+    def __init__(self, name, *options):
+        if name == 'engine':
+            self.options = engine_parser().parse_args(options)
+            handler = engine_handler(self.options)
+            self.state = handler.engine
+        else:
+            self.options = service_parser().parse_args(options)
+            handler = service_handler(self.options)
+            self.state = handler.bookings
+        self.server = StandInServer(('127.0.0.1', 0), handler)
+        self.members = announcement(
+            self.options, self.server.server_address, memory_tokens=400_000
+        )
+        self.address = self.members['address']
+        self.thread = threading.Thread(
+            target=self.server.serve_forever, args=(0.02,), daemon=True
+        )
+        self.thread.start()
+
+    def announce(self, entry, key='announce-key', verb='announce'):
+        return tell_entry(entry, verb, key, self.members)
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+        self.thread.join()
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -74,12 +74,14 @@
     return parser
 
 
+def service_handler(options):
+    """Return the handler class of a new service."""
+    return type('Handler', (BookingHandler,), {'bookings': Bookings(options)})
+
+
 def main():
     options = service_parser().parse_args()
-    handler = type(
-        'Handler', (BookingHandler,), {'bookings': Bookings(options)}
-    )
-    serve(handler, options, {})
+    serve(service_handler(options), options, {})
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_entry_relay.py
@@ -0,0 +1,206 @@
+"""Tests of attempts: broken, crossed, doubled, late and cancelled answers."""
+
+import json
+import unittest
+
+import openai
+import urllib3
+
+from tests.entry_fakes import CALLER_KEY, FakeEntry, wait_until
+from tests.standins.engine import token_text
+from tests.standins.processes import LocalStandIn, StandIn
+from verbenathread.entry.engine_client import Owner
+from verbenathread.types import UpstreamState
+
+TOKENS = 20
+MODEL = 'draft-desk'
+WHOLE = ''.join(token_text(position) for position in range(TOKENS))
+# Fault of the first engine, and how many attempts the request takes.
+FAULTS = (
+    (('--die-at', '0'), 2),
+    (('--die-at', '7'), 2),
+    (('--truncate',), 2),
+    (('--cross-at', '7'), 2),
+    (('--skip-at', '7'), 2),
+    (('--double-at', '7'), 1),
+    (('--memory-tokens', '1'), 2),
+    (('--die-at', '7', '--refuse-cancels', '3'), 2),
+)
+
+
+class RelayCase(unittest.TestCase):
+    def setUp(self):
+        self.entry = FakeEntry()
+        self.addCleanup(self.entry.stop)
+        self.pool = urllib3.PoolManager(retries=False)
+        self.addCleanup(self.pool.clear)
+
+    def engine(self, *options):
+        engine = LocalStandIn('engine', *options)
+        self.addCleanup(engine.stop)
+        self.assertEqual(engine.announce(self.entry.address), 200)
+        return engine
+
+    def complete(self, headers=(), *, stream=False, preload=True, wait=20):
+        return self.pool.request(
+            'POST',
+            f'{self.entry.url}/v1/completions',
+            json={'model': MODEL, 'prompt': 'any cot?', 'stream': stream},
+            headers={'Authorization': f'Bearer {CALLER_KEY}', **dict(headers)},
+            preload_content=preload,
+            timeout=wait,
+        )
+
+    def record(self, engine):
+        return self.entry.upstreams.get(engine.members['upstream_id'])
+
+    def assert_nothing_held(self, *engines):
+        for engine in engines:
+            self.assertTrue(
+                wait_until(lambda one=engine: not one.state.hold_by_attempt)
+            )
+        fake = self.entry.reservations
+        self.assertTrue(wait_until(lambda: fake.opened == fake.released))
+        self.assertEqual(fake.live_by_id, {})
+        self.assertTrue(wait_until(lambda: not self.entry.side.reaper.pending))
+        self.assertTrue(wait_until(lambda: not self.entry.side.budget.held))
+
+
+def streamed_text(content):
+    text = ''
+    for line in content.decode().splitlines():
+        if line.startswith('data: {'):
+            event = json.loads(line.removeprefix('data: '))
+            text += event['choices'][0]['text']
+    return text
+
+
+class RelayFaultTest(RelayCase):
+    def test_every_fault_yields_the_whole_answer(self):
+        for options, attempts in FAULTS:
+            for stream in (False, True):
+                with self.subTest(fault=options, stream=stream):
+                    self.check_fault(options, attempts, stream=stream)
+
+    def check_fault(self, options, attempts, *, stream):
+        opened = self.entry.reservations.opened
+        self.entry.upstreams.record_by_id.clear()
+        self.entry.reservations.turns = iter(range(100))
+        broken = self.engine(*options)
+        whole = self.engine()
+        answer = self.complete(stream=stream)
+        self.assertEqual(answer.status, 200)
+        if stream:
+            self.assertEqual(streamed_text(answer.data), WHOLE)
+            self.assertTrue(answer.data.endswith(b'data: [DONE]\n\n'))
+        else:
+            self.assertEqual(answer.json()['choices'][0]['text'], WHOLE)
+        self.assertEqual(self.entry.reservations.opened - opened, attempts)
+        self.assert_nothing_held(broken, whole)
+
+    def test_no_other_engine_is_said_within_the_stream(self):
+        engine = self.engine('--die-at', '7')
+        client = openai.OpenAI(
+            base_url=f'{self.entry.url}/v1', api_key=CALLER_KEY, max_retries=0
+        )
+        self.addCleanup(client.close)
+        texts = []
+        with self.assertRaises(openai.APIError) as caught:
+            for chunk in client.completions.create(
+                model=MODEL, prompt='any cot?', stream=True
+            ):
+                texts.append(chunk.choices[0].text)
+        self.assertEqual(len(texts), 7)
+        self.assertEqual(caught.exception.body['run_state'], 'may_have_run')
+        self.assert_nothing_held(engine)
+
+    def test_late_answer_ends_at_the_time_limit(self):
+        for options in ((), ('--forget-cancels',)):
+            with self.subTest(options=options):
+                self.check_late(options)
+
+    def check_late(self, options):
+        self.entry.upstreams.record_by_id.clear()
+        engine = self.engine('--late', '0.6', *options)
+        answer = self.complete((('X-Time-Limit-Ms', '200'),))
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(answer.json()['error']['run_state'], 'may_have_run')
+        # The engine sees the order only after its cancel.
+        self.assertTrue(wait_until(lambda: engine.state.arrived))
+        if options:
+            self.entry.side.reaper.reconcile(self.record(engine))
+        self.assert_nothing_held(engine)
+        # The connection of the late answer is not used again.
+        engine.options.late = 0
+        self.assertEqual(self.complete().json()['choices'][0]['text'], WHOLE)
+
+    def test_killed_engine_is_released_once_gone(self):
+        dying = StandIn('engine', '--decode-rate', '50')
+        self.addCleanup(dying.kill)
+        dying.announce(self.entry.address)
+        whole = self.engine()
+        answer = self.complete(stream=True, preload=False)
+        first = answer.read1()
+        dying.kill()
+        rest = answer.read()
+        self.assertEqual(streamed_text(first + rest), WHOLE)
+        fake = self.entry.reservations
+        self.assertEqual((fake.opened, fake.released), (2, 1))
+        gone = self.record(dying)._replace(state=UpstreamState.GONE)
+        self.entry.upstreams.record_by_id[gone.upstream_id] = gone
+        self.assert_nothing_held(whole)
+
+    def test_holds_of_an_earlier_incarnation_are_cancelled(self):
+        engine = self.engine()
+        owners = (
+            (Owner('entry-1', 0), False),
+            (Owner('entry-1', 2), True),
+            (Owner('entry-2', 0), True),
+        )
+        for number, (owner, _) in enumerate(owners):
+            engine.state.open(
+                {
+                    'attempt_id': f'attempt-{number}',
+                    'memory_tokens': 5,
+                    'owner': {
+                        'node': owner.node_id,
+                        'incarnation': owner.incarnation,
+                    },
+                }
+            )
+        found = self.entry.side.reaper.reconcile(self.record(engine))
+        self.assertEqual(found, 1)
+        for number, (owner, kept) in enumerate(owners):
+            with self.subTest(owner=owner):
+                self.assertEqual(engine.state.holds(f'attempt-{number}'), kept)
+
+
+class CallerGoneTest(RelayCase):
+    def test_gone_while_streaming(self):
+        engine = self.engine('--decode-rate', '20')
+        answer = self.complete(stream=True, preload=False)
+        answer.read1()
+        self.assertEqual(len(engine.state.hold_by_attempt), 1)
+        answer.connection.sock.shutdown(2)
+        answer.close()
+        self.assert_nothing_held(engine)
+        self.assertLess(engine.state.generated, TOKENS)
+
+    def test_gone_while_the_engine_says_nothing(self):
+        engine = self.engine('--late', '0.3')
+        with self.assertRaises(urllib3.exceptions.TimeoutError):
+            self.complete(wait=0.1)
+        self.assertTrue(wait_until(lambda: engine.state.arrived))
+        self.assert_nothing_held(engine)
+        self.assertEqual(engine.state.generated, 0)
+
+    def test_gone_while_queued(self):
+        engine = self.engine()
+        self.entry.reservations.full.set()
+        with self.assertRaises(urllib3.exceptions.TimeoutError):
+            self.complete(wait=0.1)
+        abandoned = self.entry.reservations.abandoned
+        self.assertTrue(wait_until(lambda: len(abandoned) == 1))
+        self.assertTrue(wait_until(lambda: self.entry.side.server.busy == 0))
+        self.assert_nothing_held(engine)
+        self.assertEqual(engine.state.generated, 0)
