Start a lease round above the local promise, and test the drift bound

A takeover spent one refused round (400 to 800 ms) because the successor's first ballot was below the dead owner's. The local acceptor knows that ballot. Ruled out: an early retry upon a refusal, which only shortens the loss.

--- a/tests/test_membership_engine_leases.py
+++ b/tests/test_membership_engine_leases.py
@@ -7,12 +7,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from verbenathread.clock import ManualClock
 from verbenathread.membership import wire
 from verbenathread.membership.engine_leases import (
     DRIFT_PER_MILLE,
     EngineLeases,
+    Step,
+)
+from verbenathread.membership.hashing import preferred_node
+from verbenathread.membership.lease_acceptor import (
+    LONGEST_LEASE_MS,
+    Answer,
+    Ballot,
+    LeaseAcceptor,
+    Verdict,
 )
-from verbenathread.membership.lease_acceptor import LeaseAcceptor
 
 IDS = ('a', 'b', 'c')
 ENGINE = 'e1'
@@ -39,9 +48,12 @@
 class World:
     """Three nodes whose messages are lost, late, doubled and reordered."""
 
-    def __init__(self, seed, calm=False):
+    def __init__(self, seed, calm=False, step=STEP_MS):
         self.rng = random.Random(seed)
+        self.cut_id = ''
+        self.alive_ids = frozenset(IDS)
         self.calm = calm
+        self.step = step
         self.true_now = 0
         self.in_flight = []
         self.lives = 0
@@ -83,7 +95,7 @@
                 self.in_flight.append((self.true_now + delay, action))
 
     def advance(self):
-        self.true_now += STEP_MS
+        self.true_now += self.step
         due = [entry for entry in self.in_flight if entry[0] <= self.true_now]
         self.in_flight = [entry for entry in self.in_flight if entry not in due]
         self.rng.shuffle(due)
@@ -103,11 +115,12 @@
             self.frozen_until_by_id[node_id] = self.true_now + pause
         elif chance < 12 and self.leases_by_id[node_id].holds(ENGINE):
             self.leases_by_id[node_id].release(ENGINE)
-        views = (IDS,) if self.calm else ((node_id,), IDS, IDS)
-        alive_ids = frozenset(self.rng.choice(views))
+        alive_ids = self.alive_ids
+        if not self.calm and self.rng.randrange(3) == 0:
+            alive_ids = frozenset((node_id,))
         self.leases_by_id[node_id].run_step([ENGINE], alive_ids, ())
         for peer_id in IDS:
-            if peer_id != node_id:
+            if peer_id != node_id and self.cut_id not in {node_id, peer_id}:
                 self.send(node_id, peer_id)
 
     def send(self, node_id, peer_id):
@@ -152,6 +165,85 @@
             owned += len(world.owners())
         self.assertGreater(owned, STEPS * 4 // 5)
 
+    def test_a_slow_owner_ends_before_fast_acceptors(self):
+        world = World(seed=1, calm=True, step=1)
+        world.longest_delay = 2
+        owner = preferred_node(ENGINE, IDS)
+        for node_id in IDS:
+            drift = -DRIFT_PER_MILLE if node_id == owner else DRIFT_PER_MILLE
+            world.clock_by_id[node_id] = DriftingClock(world, drift, 0)
+            world.restart(node_id)
+        for _ in range(8000):
+            world.advance()
+        self.assertEqual(world.owners(), [owner])
+        world.cut_id = owner
+        world.alive_ids = frozenset(IDS) - {owner}
+        for _ in range(8000):
+            world.advance()
+            self.assertLessEqual(len(world.owners()), 1, world.true_now)
+        self.assertTrue(world.alive_ids.issuperset(world.owners()))
+
+
+class RulesTest(unittest.TestCase):
+    """The rules that go beyond the paper, one at a time."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        acceptor = LeaseAcceptor(self.clock, 1)
+        self.leases = EngineLeases(
+            IDS, acceptor, self.clock, lambda node_id: None, node_id='a'
+        )
+        self.clock.advance(LONGEST_LEASE_MS + 1)
+
+    def ask(self):
+        """Let the proposer act and return what it asks of ``b``."""
+        self.leases.run_step([ENGINE], frozenset(IDS[:2]), ())
+        return self.leases.take_asks('b')[0]
+
+    def absorb(self, ask):
+        self.leases.absorb('b', 9, ask, Answer(Verdict.OPEN))
+
+    def acquire(self):
+        self.absorb(self.ask())
+        self.absorb(self.leases.take_asks('b')[0])
+        self.assertTrue(self.leases.holds(ENGINE))
+
+    def test_acceptor_takes_only_what_it_promised(self):
+        promised = Ballot(5, 'b', 1)
+        for name, ballot, life, verdict in (
+            ('same', promised, 1, Verdict.OPEN),
+            ('lower', Ballot(4, 'c', 1), 1, Verdict.REFUSED),
+            ('greater, unprepared', Ballot(6, 'c', 1), 1, Verdict.REFUSED),
+            ('promise of a former life', promised, 0, Verdict.REFUSED),
+        ):
+            with self.subTest(name):
+                acceptor = LeaseAcceptor(self.clock, 1)
+                self.clock.advance(LONGEST_LEASE_MS + 1)
+                acceptor.prepare(1, promised)
+                answer = acceptor.propose(1, ballot, life, LONGEST_LEASE_MS)
+                self.assertIs(answer.verdict, verdict)
+
+    def test_a_lapsed_lease_needs_a_new_prepare(self):
+        self.acquire()
+        self.clock.advance(LONGEST_LEASE_MS // 2)
+        renewal = self.ask()
+        self.assertIs(renewal.step, Step.PROPOSE)
+        self.clock.advance(LONGEST_LEASE_MS // 2)
+        self.absorb(renewal)
+        self.assertFalse(self.leases.holds(ENGINE))
+
+    def test_old_answer_confirms_no_later_renewal(self):
+        self.acquire()
+        held_until = self.leases.held_until(ENGINE)
+        renewals = []
+        for _ in range(2):
+            self.clock.advance(LONGEST_LEASE_MS // 3 + 1)
+            renewals.append(self.ask())
+        self.absorb(renewals[0])
+        self.assertEqual(self.leases.held_until(ENGINE), held_until)
+        self.absorb(renewals[1])
+        self.assertGreater(self.leases.held_until(ENGINE), held_until)
+
 
 class WireTest(unittest.TestCase):
     def test_a_proposal_of_another_life_is_not_sent(self):
--- a/verbenathread/membership/engine_leases.py
+++ b/verbenathread/membership/engine_leases.py
@@ -235,7 +235,9 @@
 
     def _prepare(self, state: _Engine) -> None:
         now = self._clock.now()
-        self._highest_round += 1
+        self._highest_round = 1 + max(
+            self._highest_round, self._acceptor.promised_round(state.engine)
+        )
         state.round = self._highest_round
         state.step = Step.PREPARE
         state.began = now
--- a/verbenathread/membership/lease_acceptor.py
+++ b/verbenathread/membership/lease_acceptor.py
@@ -123,3 +123,8 @@
         """Return who holds a lease as far as this acceptor knows."""
         slot = self._slot_by_engine.get(engine)
         return None if slot is None else slot.holder(self._clock.now())
+
+    def promised_round(self, engine: int) -> int:
+        """Return the round of the greatest promise; 0 if there is none."""
+        slot = self._slot_by_engine.get(engine)
+        return 0 if slot is None else slot.promised.round
