Leave SIGPIPE ignored, so that a hung-up caller can't end a daemon

Cause: the command line reset SIGPIPE to its default for the sake of `| head`; the whole test run died without a word once a test wrote to a closed socket. Ruled out: a crash of the interpreter (the exit was a signal, in the merged tests of the relay only after those of the command line). Conclusion: a closed pipe is caught where it is written.

--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import json
+import signal
 import tempfile
 import unittest
 from pathlib import Path
@@ -45,6 +46,10 @@
                     self.assertIn(expected, seen[1] + seen[2])
                     self.assertNotIn('Traceback', seen[2])
 
+    def test_a_broken_pipe_never_ends_a_daemon(self):
+        run('check', ENTRY)
+        self.assertEqual(signal.getsignal(signal.SIGPIPE), signal.SIG_IGN)
+
     def test_json_for_programs(self):
         code, out, _ = run('check', '--json', ENTRY, ENTRY + '.none')
         self.assertEqual(code, 2)
--- a/verbenathread/cmdline.py
+++ b/verbenathread/cmdline.py
@@ -2,7 +2,7 @@
 
 import argparse
 import json
-import signal
+import os
 import sys
 from collections.abc import Iterable
 
@@ -57,8 +57,6 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run one command and return its exit code."""
-    # A reader that closes the pipe early ends the program quietly.
-    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     options = build_parser(all_commands()).parse_args(arguments)
     command: Command = options.command
     try:
@@ -68,6 +66,12 @@
         return error.exit_code
     except KeyboardInterrupt:
         return _EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader closed the pipe early. What the interpreter flushes at
+        # its exit goes nowhere, as the signal module's documentation advises.
+        nowhere = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(nowhere, sys.stdout.fileno())
+        return 0
 
 
 def _run(command: Command, options: argparse.Namespace) -> int:
