--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -146,7 +146,7 @@
                 attempt_id,
                 attempt_id,
                 (chosen.upstream_id,),
-                work.prompt_tokens + work.most_output_tokens,
+                work.prompt_tokens + work.expected_output_tokens,
                 SystemClock().now() + 2000,
                 0,
             )
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -6,7 +6,7 @@
 import openai
 import urllib3
 
-from tests.entry_fakes import CALLER_KEY, FakeEntry, wait_until
+from tests.entry_fakes import CALLER_KEY, LIMITS, FakeEntry, wait_until
 from tests.standins.engine import token_text
 from tests.standins.processes import LocalStandIn, StandIn
 from verbenathread.entry.engine_client import Owner
@@ -29,8 +29,13 @@
 
 
 class RelayCase(unittest.TestCase):
+    limits = LIMITS
+    most_output_tokens = 1000
+
     def setUp(self):
-        self.entry = FakeEntry()
+        self.entry = FakeEntry(
+            limits=self.limits, most_output_tokens=self.most_output_tokens
+        )
         self.addCleanup(self.entry.stop)
         self.pool = urllib3.PoolManager(retries=False)
         self.addCleanup(self.pool.clear)
--- a/verbenathread/entry/announce_service.py
+++ b/verbenathread/entry/announce_service.py
@@ -129,7 +129,7 @@
     if not isinstance(models, list):
         raise _wrong('"models" must be a list of strings.')
     role = members.get('role', 'both')
-    if role not in _ROLES:
+    if not isinstance(role, str) or role not in _ROLES:
         raise _wrong('"role" must be prefill, decode or both.')
     memory = members.get('memory_tokens', 0)
     if not isinstance(memory, int) or memory < 0:
--- a/verbenathread/entry/exchange.py
+++ b/verbenathread/entry/exchange.py
@@ -33,6 +33,8 @@
     body_bytes: int
     # Longest time in ms to receive a request.
     body_timeout: Millis
+    # Longest time in ms that one write may wait for a slow reader.
+    write_wait: Millis = 10_000
 
 
 class Exchange:
@@ -159,14 +161,14 @@
         if self._request.chunked_read:
             # How much will come is not known: room for the largest.
             return self._limits.body_bytes
-        # The server library has checked that this is a number.
-        length = int(self.headers.get(_LENGTH, 0))
-        if length < 0:
+        text = self.headers.get(_LENGTH, '0')
+        if not text.isascii() or not text.isdigit():
             raise CallerError(
                 http.HTTPStatus.BAD_REQUEST,
                 'malformed_request',
-                'Content-Length is below zero; send the length of the body.',
+                'Content-Length is no whole number; send that of the body.',
             )
+        length = int(text)
         if length > self._limits.body_bytes:
             raise _too_large(self._limits)
         return length
--- a/verbenathread/entry/http_server.py
+++ b/verbenathread/entry/http_server.py
@@ -41,17 +41,47 @@
 # Longest time in ms to receive the headers of a request.
 _HEADER_TIMEOUT = 5000
 _RESERVED_HEADER_TIMEOUT = 1000
-# Longest time in ms that one write may wait for a slow reader.
-_WRITE_WAIT = 10_000
 _RETRY_AFTER_MS = 1000
+_SINGLE_HEADERS = frozenset(
+    (
+        b'Authorization',
+        b'Content-Length',
+        b'Host',
+        b'Idempotency-Key',
+        b'Transfer-Encoding',
+        b'X-Time-Limit-Ms',
+    )
+)
 _STOP_SECONDS = 1
 
 _log = get_logger('callers')
 
 
+class _Headers(dict[bytes, bytes]):
+    """Headers of a request; those that frame it may stand there once.
+
+    Two ends that pick different ones of two lengths would see different
+    requests on one connection.
+    """
+
+    def __setitem__(self, name: bytes, text: bytes) -> None:
+        """Keep one header; the server answers ``ValueError`` with 400."""
+        if name in _SINGLE_HEADERS and name in self:
+            header = name.decode('latin-1')
+            raise ValueError(f'{header} stands there twice')
+        super().__setitem__(name, text)
+        if b'Content-Length' in self and b'Transfer-Encoding' in self:
+            raise ValueError('Content-Length stands beside chunks')
+
+
 class _JsonRequest(HTTPRequest):
     """Answers malformed requests in the shape that clients parse."""
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Keep the headers strictly."""
+        super().__init__(*arguments, **options)
+        self.inheaders = _Headers()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Send the refusal of a request that could not be parsed."""
         code = int(str(status).split(' ', 1)[0])
@@ -95,7 +125,7 @@
         super().__init__(server, sock)
         context = server.context
         self.times = SocketTimes(context.clock)
-        self.times.write_wait = _WRITE_WAIT
+        self.times.write_wait = context.limits.write_wait
         self.rfile = TimedReader(sock, self.times)
         self.wfile = TimedWriter(sock, self.times)
         self.arrival: Millis = 0
@@ -111,7 +141,7 @@
         if self.reserved:
             timeout = _RESERVED_HEADER_TIMEOUT
         self.times.read_by = self.arrival + timeout
-        self.times.write_by = self.arrival + _WRITE_WAIT
+        self.times.write_by = self.arrival + context.limits.write_wait
         with ExitStack() as stack:
             stack.callback(self.server.worker_done)
             return bool(super().communicate())  # type: ignore[no-untyped-call]
--- a/verbenathread/entry/model_call.py
+++ b/verbenathread/entry/model_call.py
@@ -135,10 +135,20 @@
     if not isinstance(messages, list) or not messages:
         return '"messages" must be a list with at least one message.'
     for message in messages:
-        if not isinstance(message, dict) or message.get('role') not in _ROLES:
-            return 'Each message must be an object with a known "role".'
-        if not isinstance(message.get('content'), (str, list, type(None))):
-            return 'The "content" of each message must be a string or a list.'
+        fault = _message_fault(message)
+        if fault:
+            return fault
+    return ''
+
+
+def _message_fault(message: Any) -> str:
+    if not isinstance(message, dict):
+        return 'Each message must be an object.'
+    role = message.get('role')
+    if not isinstance(role, str) or role not in _ROLES:
+        return 'Each message must have a known "role".'
+    if not isinstance(message.get('content'), (str, list, type(None))):
+        return 'The "content" of each message must be a string or a list.'
     return ''
 
 
@@ -154,7 +164,7 @@
     options = members.get('stream_options')
     if options is not None and not isinstance(options, dict):
         return '"stream_options" must be an object.'
-    if members.get('n') not in {None, 1}:
+    if members.get('n', 1) not in (None, 1):  # noqa: WPS510 may be a list
         return '"n" must be 1; send one request for each answer.'
     for name, types in _TYPES_BY_SAMPLING_MEMBER.items():
         found = members.get(name)
