Stop an entry as planned; serve metrics, health and readiness

Cause: EntryDaemon was missing, and a stop cut streams off. Before: nothing to start. Ruled out: closing the listener at once; a balancer that has not noticed yet would see connections reset. Shared: verbenathread/daemons.py loses the type: ignore of an import that is found now. A given-up upstream connection is reset instead of closed, so that the kernel delivers nothing of it later.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -33,6 +33,7 @@
             'fencing': 0,
             'models': [options.service],
             'role': 'both',
+            'drain': '',
         }
         self.refused_cancels = 0
         self.generated = 0
@@ -131,8 +132,8 @@
                 models.append(subject)
             if order['action'] == 'unload' and subject in models:
                 models.remove(subject)
-            if order['action'] == 'role':
-                self.order['role'] = subject
+            if order['action'] in {'role', 'drain'}:
+                self.order[order['action']] = subject
             return True
 
 
--- /dev/null
+++ b/tests/test_entry_daemon.py
@@ -0,0 +1,136 @@
+"""Tests of the planned stop of an entry under load."""
+
+import threading
+import unittest
+from urllib.error import HTTPError
+from urllib.request import urlopen
+
+import urllib3
+
+from tests.entry_fakes import (
+    CALLER_KEY,
+    FakeClaims,
+    FakeSettings,
+    FakeUpstreams,
+    PassingOver,
+    wait_until,
+)
+from tests.standins.processes import LocalStandIn
+from tests.test_entry_relay import MODEL, WHOLE, streamed_text
+from verbenathread.entry.callers_side import Ports
+from verbenathread.entry.daemon import EntryDaemon
+from verbenathread.exceptions import SettingsError
+from verbenathread.schema import settings_pb2
+
+STREAMS = 8
+LISTEN = '127.0.0.1:0'
+
+
+class FakeFabric:
+    """Neighbours in memory; counts its stops."""
+
+    def __init__(self):
+        upstreams = FakeUpstreams()
+        self.ports = Ports(
+            FakeSettings(), upstreams, PassingOver(upstreams), FakeClaims()
+        )
+        self.is_ready = False
+        self.stops = 0
+
+    def start(self):
+        """Do nothing."""
+
+    def stop(self):
+        self.stops += 1
+
+    def ready(self):
+        return self.is_ready
+
+
+def node_settings(listen=LISTEN, stop_notice=300):
+    return settings_pb2.NodeSettings(
+        node=settings_pb2.NodeSection(id='entry-1'),
+        entry=settings_pb2.EntrySection(
+            listen=listen,
+            metrics_listen=LISTEN,
+            streams=STREAMS,
+            buffered_bytes=8_000_000,
+            body_bytes=1_000_000,
+            body_timeout=1000,
+            stop_notice=stop_notice,
+            stop_limit=20_000,
+        ),
+    )
+
+
+class DaemonTest(unittest.TestCase):
+    def setUp(self):
+        self.fabric = FakeFabric()
+        self.daemon = EntryDaemon(node_settings(), self.fabric)
+        self.daemon.start()
+        self.engine = LocalStandIn('engine', '--decode-rate', '30')
+        self.addCleanup(self.engine.stop)
+        self.engine.announce(self.daemon.side.server.address)
+        self.pool = urllib3.PoolManager(retries=False)
+        self.addCleanup(self.pool.clear)
+
+    def complete(self, *, stream):
+        return self.pool.request(
+            'POST',
+            f'http://{self.daemon.side.server.address}/v1/completions',
+            json={'model': MODEL, 'prompt': 'any cot?', 'stream': stream},
+            headers={'Authorization': f'Bearer {CALLER_KEY}'},
+            preload_content=False,
+        )
+
+    def status(self, path):
+        url = f'http://{self.daemon.status.address}{path}'
+        try:
+            with urlopen(url, timeout=10) as answer:
+                return answer.status
+        except HTTPError as error:
+            error.close()
+            return error.code
+
+    def test_planned_stop_cuts_nothing_off(self):
+        self.assertEqual(self.status('/readyz'), 503)
+        self.fabric.is_ready = True
+        for path in ('/readyz', '/healthz', '/metrics'):
+            self.assertEqual(self.status(path), 200)
+        streams = [self.complete(stream=True) for _ in range(STREAMS - 2)]
+        stopping = threading.Thread(target=self.daemon.stop)
+        stopping.start()
+        self.assertTrue(wait_until(lambda: self.status('/readyz') == 503))
+        # The balancer has not noticed yet: new work is still served.
+        streams.append(self.complete(stream=True))
+        self.assertEqual(streams[-1].status, 200)
+        refused = self.until_refused()
+        self.assertEqual(refused.headers['Connection'], 'close')
+        self.assertTrue(refused.headers['Retry-After'])
+        self.assertEqual(refused.headers['X-Run-State'], 'not_run')
+        for answer in streams:
+            self.assertEqual(streamed_text(answer.read()), WHOLE)
+        stopping.join()
+        self.assertEqual(self.fabric.stops, 1)
+        held = self.fabric.ports.reservations
+        self.assertEqual(held.opened, held.released)
+        self.assertEqual(self.engine.state.hold_by_attempt, {})
+
+    def until_refused(self):
+        found = []
+
+        def refused():
+            answer = self.complete(stream=False)
+            answer.read()
+            found.append(answer)
+            return answer.status == 503
+
+        self.assertTrue(wait_until(refused))
+        return found[-1]
+
+    def test_taken_address_is_said_with_its_remedy(self):
+        listen = str(self.daemon.side.server.address)
+        second = EntryDaemon(node_settings(listen), FakeFabric())
+        with self.assertRaisesRegex(SettingsError, 'write another port'):
+            second.start()
+        self.daemon.stop()
--- a/verbenathread/daemons.py
+++ b/verbenathread/daemons.py
@@ -16,7 +16,7 @@
 def run_entry(options: argparse.Namespace) -> Rendered:
     """Run an entry until SIGTERM or SIGINT, then stop as planned."""
     # Only this role needs the HTTP libraries.
-    from verbenathread.entry.daemon import EntryDaemon  # type: ignore[import-not-found]
+    from verbenathread.entry.daemon import EntryDaemon
 
     settings = _settings_for('entry', options.settings)
     # Blocked before any thread starts, so that only sigwait takes them.
--- a/verbenathread/entry/connections.py
+++ b/verbenathread/entry/connections.py
@@ -1,6 +1,7 @@
 """HTTP connections to upstreams, reused only after a clean exchange."""
 
 import socket
+import struct
 import threading
 from collections import deque
 from collections.abc import Mapping
@@ -19,6 +20,8 @@
 CONNECT_TIMEOUT = 1000
 _MOST_IDLE = 64
 _LEAST_WAIT = 1
+# Linger on, for no time.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
 
@@ -102,6 +105,11 @@
             if self._connection.sock is not None:
                 self._pool.put_back(self._address, self._connection)
                 return
+        # Reset, so that the kernel delivers nothing of it any more.
+        with suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         if response is not None:
             response.close()
         self._connection.close()
--- /dev/null
+++ b/verbenathread/entry/daemon.py
@@ -0,0 +1,135 @@
+"""The entry daemon: its parts wired, started, and stopped as planned."""
+
+import importlib
+import time
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from verbenathread.clock import Clock, SystemClock, seconds
+from verbenathread.entry.callers_side import CallersSide, Ports
+from verbenathread.entry.engine_client import Owner
+from verbenathread.entry.exchange import Limits
+from verbenathread.entry.status_server import StatusServer
+from verbenathread.exceptions import SettingsError
+from verbenathread.observability.logs import get_logger
+from verbenathread.observability.metrics import EntryMetrics
+from verbenathread.schema import settings_pb2
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Address, Millis
+
+# Longest time in ms to record outcomes and confirm cancels at a stop.
+_FLUSH_TIME = 5000
+
+_log = get_logger('entry')
+
+
+class Fabric(Protocol):
+    """The entry's connections with other nodes."""
+
+    ports: Ports
+
+    def start(self) -> None:
+        """Begin to talk with the other nodes."""
+
+    def stop(self) -> None:
+        """Hand over or release leases and end."""
+
+    def ready(self) -> bool:
+        """Return whether shared settings are in force."""
+
+
+class StopTimes(NamedTuple):
+    """How long the steps of a planned stop take, in ms."""
+
+    # How long readiness fails before new work is refused.
+    notice: Millis
+    # How long requests in progress are waited for.
+    limit: Millis
+
+
+class EntryDaemon:
+    """One entry process."""
+
+    def __init__(
+        self,
+        settings: settings_pb2.NodeSettings,
+        fabric: Fabric | None = None,
+        *,
+        clock: Clock | None = None,
+    ) -> None:
+        """Wire the parts; nothing runs before :meth:`start`."""
+        entry = settings.entry
+        clock = clock or SystemClock()
+        if fabric is None:
+            fabric = _entry_fabric(settings)
+        self._fabric = fabric
+        self._stop_times = StopTimes(entry.stop_notice, entry.stop_limit)
+        self._fault = 'starting'
+        self.metrics = EntryMetrics()
+        self.side = CallersSide(
+            parse_address(entry.listen),
+            fabric.ports,
+            Owner(settings.node.id, clock.wall()),
+            Limits(
+                entry.streams,
+                entry.buffered_bytes,
+                entry.body_bytes,
+                entry.body_timeout,
+            ),
+            self.metrics,
+            clock=clock,
+        )
+        self.status = StatusServer(
+            parse_address(entry.metrics_listen),
+            self.metrics.registry,
+            self._readiness,
+        )
+
+    def start(self) -> None:
+        """Begin to serve; readiness tells when callers may be sent here."""
+        self._fabric.start()
+        self._listen('listen', self.side.server.address, self.side.start)
+        self._listen('metrics_listen', self.status.address, self.status.start)
+        self._fault = ''
+        _log.info('Serving callers.', address=str(self.side.server.address))
+
+    def stop(self) -> None:
+        """Stop as planned: no request in progress is cut off in its limit."""
+        _log.info('Stopping.')
+        self._fault = 'stopping'
+        time.sleep(seconds(self._stop_times.notice))
+        self.side.refuse_new_work()
+        if not self.side.drain(self._stop_times.limit):
+            _log.warning(
+                'Requests are cut off at the stop limit.',
+                requests=self.side.server.busy,
+            )
+        self.side.stop(_FLUSH_TIME)
+        self._fabric.stop()
+        self.status.stop()
+        _log.info('Stopped.')
+
+    def _readiness(self) -> str:
+        if self._fault:
+            return self._fault
+        if not self._fabric.ready():
+            return 'no shared settings are in force yet'
+        return ''
+
+    def _listen(
+        self, option: str, address: Address, start: Callable[[], None]
+    ) -> None:
+        try:
+            start()
+        except OSError as exc:
+            raise SettingsError(
+                f'[entry] {option} = {address} can not be listened on '
+                f'({exc.strerror}); end what uses it or write another port.'
+            ) from exc
+
+
+def _entry_fabric(settings: settings_pb2.NodeSettings) -> Fabric:
+    # Loaded late: callers that bring a fabric of their own need no grpclib.
+    module = importlib.import_module('verbenathread.entry.fabric')
+    fabric: Fabric = module.EntryFabric(settings)
+    return fabric
