Measure what one entry process costs

Cause: the targets of 60 us a token, 5 ms a request and 128 MB had no figure. Before: unknown. Ruled out: measuring an answer that comes all at once; tokens come one by one.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -242,10 +242,17 @@
 class FakeEntry:
     """A callers' side with in-memory neighbours, on an own port."""
 
-    def __init__(self, *, limits=LIMITS, claims=None, incarnation=1, **options):
+    def __init__(
+        self,
+        *,
+        limits=LIMITS,
+        claims=None,
+        reservations=PassingOver,
+        **options,
+    ):
         self.settings = FakeSettings(**options)
         self.upstreams = FakeUpstreams()
-        self.reservations = PassingOver(self.upstreams)
+        self.reservations = reservations(self.upstreams)
         self.claims = claims or FakeClaims()
         self.metrics = EntryMetrics()
         self.side = CallersSide(
@@ -253,7 +260,7 @@
             Ports(
                 self.settings, self.upstreams, self.reservations, self.claims
             ),
-            Owner('entry-1', incarnation),
+            Owner('entry-1', 1),
             limits,
             self.metrics,
         )
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -15,23 +15,28 @@
 class StandIn:
     """One process of ``python -m tests.standins.NAME``."""
 
-    def __init__(self, name, *options):
+    def __init__(self, name: str, *options: str) -> None:
         self.process = subprocess.Popen(
             [sys.executable, '-m', f'tests.standins.{name}', *options],
             stdout=subprocess.PIPE,
         )
+        assert self.process.stdout is not None
         self.members = json.loads(self.process.stdout.readline())
         self.address = self.members['address']
 
-    def announce(self, entry, key='announce-key', verb='announce'):
+    def announce(
+        self,
+        entry: object,
+        key: str = 'announce-key',
+        verb: str = 'announce',
+    ) -> int:
         return tell_entry(entry, verb, key, self.members)
 
-    def kill(self):
+    def kill(self) -> None:
         """SIGKILL, as a VM that is lost."""
         if self.process.poll() is None:
             os.kill(self.process.pid, signal.SIGKILL)
-        self.process.wait()
-        self.process.stdout.close()
+        self.process.communicate()
 
 
 class LocalStandIn:
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -94,7 +94,7 @@
     server.serve_forever()
 
 
-def tell_entry(entry, verb, key, members):
+def tell_entry(entry: object, verb: str, key: str, members: object) -> int:
     """Announce, renew or leave at an entry; returns its status."""
     request = Request(
         f'http://{entry}/upstreams/v1/{verb}',
@@ -103,9 +103,9 @@
     )
     try:
         with urlopen(request, timeout=2) as answer:
-            return answer.status
+            return int(answer.status)
     except OSError as exc:
-        return getattr(exc, 'code', 0)
+        return int(getattr(exc, 'code', 0))
 
 
 def _renew(options, members):
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,251 @@
+"""What one entry process costs: per request, per token, in memory and delay.
+
+An entry with in-memory neighbours and engine stand-ins run as processes on
+loopback. Figures only; the targets stand beside them.
+"""
+
+import argparse
+import json
+import selectors
+import socket
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from contextlib import closing
+from pathlib import Path
+from typing import NamedTuple
+
+from tests.entry_fakes import CALLER_KEY
+from tests.standins.processes import StandIn
+from tools.processes import Started
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Address
+
+_STREAMS = 200
+_TOKENS_PER_STREAM = 110
+_TOKENS_PER_SECOND = 22
+_ENGINES = 4
+_REQUESTS = 1000
+_PAIRS = 300
+_READ_BYTES = 65536
+_MICROS_PER_MS = 1000
+_MS_PER_SECOND = 1000
+_MEBIBYTE = 1_048_576
+_EVENT = b'data: {'
+_END = b'data: [DONE]'
+
+
+class Figure(NamedTuple):
+    """One measured figure and its target, if there is one."""
+
+    name: str
+    value: float
+    unit: str
+    target: float | None = None
+
+
+class Bench:
+    """An entry, and engines that stream at a steady rate or at once."""
+
+    def __init__(self) -> None:
+        """Start the processes."""
+        self._entry = StandIn('entry', '--streams', str(_STREAMS + 56))
+        self._address = parse_address(self._entry.address)
+        self._started = Started('entry', self._entry.process, Path())
+        self._engines: list[StandIn] = []
+
+    def close(self) -> None:
+        """End the processes."""
+        for engine in self._engines:
+            engine.kill()
+        self._entry.kill()
+
+    def use_engines(self, count: int, *options: str) -> Address:
+        """Let new engines replace the former ones; return one of them."""
+        for former in self._engines:
+            former.announce(self._address, verb='leave')
+            former.kill()
+        self._engines = [StandIn('engine', *options) for _ in range(count)]
+        for engine in self._engines:
+            engine.announce(self._address)
+        return parse_address(self._engines[0].address)
+
+    def per_request(self) -> list[Figure]:
+        """Measure short requests, one after another on one connection."""
+        self.use_engines(1, '--answer-tokens', '1')
+        content = completion(1, stream=False)
+        with socket.create_connection(self._address) as sock:
+            _exchange(sock, content)
+            before = self._started.cpu_ms()
+            for _ in range(_REQUESTS):
+                _exchange(sock, content)
+            used = self._started.cpu_ms() - before
+        return [Figure('request', used / _REQUESTS, 'ms', 5)]
+
+    def streams(self) -> list[Figure]:
+        """Measure many streams at once that come at a steady rate."""
+        self.use_engines(
+            _ENGINES,
+            f'--decode-rate={_TOKENS_PER_SECOND}',
+            f'--answer-tokens={_TOKENS_PER_STREAM}',
+        )
+        load = Load(self._address, _STREAMS)
+        load.run_until(lambda: load.tokens >= _STREAMS)
+        before = self._started.cpu_ms()
+        tokens_before = load.tokens
+        peak = 0
+        since = time.monotonic()
+        while load.ended < _STREAMS:
+            load.poll()
+            peak = max(peak, self._started.resident_bytes())
+        used = self._started.cpu_ms() - before
+        took = time.monotonic() - since
+        tokens = load.tokens - tokens_before
+        return [
+            Figure('token', used * _MICROS_PER_MS / tokens, 'us', 60),
+            Figure('tokens relayed', tokens / took, '1/s'),
+            Figure('resident at 200 streams', peak / _MEBIBYTE, 'MB', 128),
+        ]
+
+    def first_token(self) -> list[Figure]:
+        """Measure the first token straight and through the entry, in turn."""
+        engine = self.use_engines(1, '--answer-tokens', '1')
+        straight = []
+        relayed = []
+        with (
+            socket.create_connection(engine) as to_engine,
+            socket.create_connection(self._address) as to_entry,
+        ):
+            for number in range(_PAIRS):
+                order = generate_order(number)
+                straight.append(_timed(to_engine, order))
+                relayed.append(_timed(to_entry, completion(1, stream=True)))
+        direct = statistics.median(straight)
+        return [
+            Figure('first token, straight', direct, 'ms'),
+            Figure(
+                'first token, added by the entry',
+                statistics.median(relayed) - direct,
+                'ms',
+            ),
+        ]
+
+
+class Load:
+    """Streaming callers on one selector."""
+
+    def __init__(self, address: Address, count: int) -> None:
+        """Send ``count`` requests at once."""
+        self.tokens = 0
+        self.ended = 0
+        self._selector = selectors.DefaultSelector()
+        content = completion(_TOKENS_PER_STREAM, stream=True)
+        for _ in range(count):
+            sock = socket.create_connection(address)
+            sock.sendall(content)
+            self._selector.register(sock, selectors.EVENT_READ)
+
+    def run_until(self, done: Callable[[], bool]) -> None:
+        """Read until ``done``."""
+        while not done():
+            self.poll()
+
+    def poll(self) -> None:
+        """Read what has come."""
+        for key, _ in self._selector.select(1):
+            sock = key.fileobj
+            assert isinstance(sock, socket.socket)
+            block = sock.recv(_READ_BYTES)
+            self.tokens += block.count(_EVENT)
+            if not block:
+                raise RuntimeError('a stream was cut off')
+            if _END in block:
+                self.tokens -= 1
+                self.ended += 1
+                self._selector.unregister(sock)
+                sock.close()
+
+
+def completion(tokens: int, *, stream: bool) -> bytes:
+    """Return a request for a completion."""
+    call = {
+        'model': 'draft-desk',
+        'prompt': 'any cot tonight?',
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+    return _request('/v1/completions', json.dumps(call).encode())
+
+
+def generate_order(number: int) -> bytes:
+    """Return the same request as an engine gets it."""
+    order = {
+        'attempt_id': f'bench-{number}',
+        'request_id': 'bench',
+        'prompt': 'any cot tonight?',
+        'max_tokens': 1,
+        'owner': {'node': 'bench', 'incarnation': 1},
+        'resume_from': {'position': 0, 'text': ''},
+    }
+    return _request('/v1/generate', json.dumps(order).encode())
+
+
+def _request(path: str, content: bytes) -> bytes:
+    head = (
+        f'POST {path} HTTP/1.1\r\nHost: bench\r\n'
+        f'Authorization: Bearer {CALLER_KEY}\r\n'
+        f'Content-Length: {len(content)}\r\n\r\n'
+    )
+    return b'%b%b' % (head.encode(), content)
+
+
+def _exchange(sock: socket.socket, content: bytes) -> None:
+    sock.sendall(content)
+    received = sock.recv(_READ_BYTES)
+    while b'"choices"' not in received:
+        block = sock.recv(_READ_BYTES)
+        if not block:
+            raise RuntimeError('the entry did not answer')
+        received += block
+
+
+def _timed(sock: socket.socket, content: bytes) -> float:
+    """Return ms until the first token; read the rest of the answer."""
+    began = time.perf_counter()
+    sock.sendall(content)
+    received = b''
+    while b'w0 ' not in received:
+        received += sock.recv(_READ_BYTES)
+    took = time.perf_counter() - began
+    while not received.endswith(b'0\r\n\r\n'):
+        received += sock.recv(_READ_BYTES)
+    return took * _MS_PER_SECOND
+
+
+def main() -> int:
+    """Print every figure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--json', action='store_true', help='for programs')
+    options = parser.parse_args()
+    with closing(Bench()) as bench:
+        figures = [
+            *bench.per_request(),
+            *bench.streams(),
+            *bench.first_token(),
+        ]
+    if options.json:
+        members = [figure._asdict() for figure in figures]
+        sys.stdout.write(f'{json.dumps(members)}\n')
+        return 0
+    for figure in figures:
+        target = ''
+        if figure.target is not None:
+            target = f'  (target {figure.target:g})'
+        line = f'{figure.name:34} {figure.value:10.2f} {figure.unit}{target}'
+        sys.stdout.write(f'{line}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
