Join entries over gRPC: owners of engine memory, reservations, sessions

Before, nothing stood behind the ports of the callers' side. A grant now counts as started at once and comes back only by release or by what the engine lists after the last moment to start. Ruled out: the ledger's own expiry of grants that were not seen to start, which gives memory out twice when the message of the start is lost; converting start_by at the arrival of the reply, which a delayed reply would stretch (peers' clocks are bounded by the last exchange instead).

--- /dev/null
+++ b/tests/fabric_network.py
@@ -0,0 +1,198 @@
+"""Entries in one virtual loop, joined in memory, over fake engines."""
+
+import asyncio
+import random
+
+from tests.cell_network import engine
+from verbenathread.clock import LoopClock
+from verbenathread.entry.fabric_node import FabricNode, NodeContext
+from verbenathread.entry.peers import bound_socket
+from verbenathread.entry.shared import SharedTree
+from verbenathread.exceptions import UnavailableError
+from verbenathread.membership.cell import PeerUnreachableError
+from verbenathread.scheduling.messages import EngineHold
+from verbenathread.schema import control_pb2, peer_pb2, settings_pb2
+from verbenathread.types import Address, Work
+
+NEVER_S = 3600
+DEADLINE_MS = 600_000
+TREE = """
+[service draft-desk]
+announce_key_sha256 = {zeros}
+time_limit = 60000
+"""
+
+
+def tree_update(revision, service='draft-desk'):
+    text = TREE.format(zeros='0' * 64).replace('draft-desk', service)
+    branch = control_pb2.Branch(path='/', revision=revision, text=text)
+    return control_pb2.TreeUpdate(
+        revision=revision, whole=True, branches=[branch]
+    )
+
+
+def node_settings(node_id, cell, control='127.0.0.1:1'):
+    return settings_pb2.NodeSettings(
+        node=settings_pb2.NodeSection(
+            id=node_id, data_centre='mobile-al', cluster='c', node_key='k'
+        ),
+        entry=settings_pb2.EntrySection(
+            cell=cell, control=control, peer_listen='127.0.0.1:0'
+        ),
+    )
+
+
+class FakeEngines:
+    """What each engine holds, as it would list it."""
+
+    def __init__(self):
+        self.holds_by_id = {}
+        self.unreadable = set()
+
+    async def holds(self, record, limit):
+        if record.upstream_id in self.unreadable:
+            raise UnavailableError('the engine is away')
+        return tuple(self.holds_by_id.get(record.upstream_id, {}).values())
+
+    def run(self, reservation, owner_id):
+        for upstream_id in reservation.upstream_ids:
+            tokens = reservation.memory_tokens // len(reservation.upstream_ids)
+            self.holds_by_id.setdefault(upstream_id, {})[
+                reservation.attempt_id
+            ] = EngineHold(reservation.attempt_id, tokens, tokens, 1, owner_id)
+
+    def end(self, reservation):
+        for upstream_id in reservation.upstream_ids:
+            self.holds_by_id[upstream_id].pop(reservation.attempt_id)
+
+
+class FabricNetwork:
+    """Entries by identifier; ``cut_ids`` reach nobody."""
+
+    def __init__(self, size):
+        self.ids = tuple(f'entry-{number}' for number in range(size))
+        self.engines = FakeEngines()
+        self.node_by_id = {}
+        self.cut_ids = set()
+        self.reply_delay_s = 0.001
+        self.attempts = 0
+
+    async def start(self, node_id, incarnation=1, revision=1):
+        cell = ','.join(f'{name}@127.0.0.1:1' for name in self.ids)
+        context = NodeContext(
+            node_settings(node_id, cell),
+            incarnation,
+            LoopClock(),
+            random.Random(node_id),
+        )
+        shared = SharedTree()
+        if revision:
+            shared.take(tree_update(revision))
+        node = FabricNode(
+            context, shared, self.engines, _MemoryCalls(self, node_id)
+        )
+        self.node_by_id[node_id] = node
+        await node.start(bound_socket(Address('127.0.0.1', 0)))
+        return node
+
+    async def kill(self, node_id):
+        await self.node_by_id.pop(node_id).close()
+
+    async def close(self):
+        for node_id in tuple(self.node_by_id):
+            await self.kill(node_id)  # noqa: WPS476 - at the end
+
+    def announce(self, *names):
+        for name in names:
+            for node_id, node in self.node_by_id.items():
+                if node_id not in self.cut_ids:
+                    node.cell.announce(engine(name))
+
+    async def keep_announcing(self, *names):
+        while True:
+            self.announce(*names)
+            await asyncio.sleep(2)
+
+    def owner(self, name):
+        """Return the node that grants memory of an engine, or None."""
+        owners = [
+            node_id
+            for node_id, node in self.node_by_id.items()
+            if name in node.host.owned_ids()
+            and node.cell.engine_leases.holds(name)
+        ]
+        assert len(owners) < 2, owners
+        return owners[0] if owners else None
+
+    def free(self, name):
+        owned = self.node_by_id[self.owner(name)].host
+        return owned.engine(name).ledger.free_tokens
+
+    def work(self, tokens, deadline_ms=DEADLINE_MS):
+        self.attempts += 1
+        now = LoopClock().now()
+        return Work(
+            request_id=f'r{self.attempts}',
+            account='a',
+            service='draft-desk',
+            prompt_tokens=tokens - 1000,
+            most_output_tokens=1000,
+            expected_output_tokens=1000,
+            deadline=now + deadline_ms,
+            arrival=now,
+        )
+
+    async def reserve(self, node_id, tokens, deadline_ms=DEADLINE_MS):
+        work = self.work(tokens, deadline_ms)
+        node = self.node_by_id[node_id]
+        return await node.reservations.reserve(work, f'a-{work.request_id}')
+
+
+class _MemoryCalls:
+    """Calls that arrive in memory, or never when an end is cut off."""
+
+    def __init__(self, network, node_id):
+        self._network = network
+        self._node_id = node_id
+
+    async def exchange(self, peer_id, message):
+        node = await self._reach(peer_id)
+        copy = peer_pb2.PeerMessage.FromString(message.SerializeToString())
+        reply = node.cell.answer(copy)
+        await self._reach(peer_id)
+        return reply
+
+    async def reserve(self, peer_id, request, limit):
+        node = await self._reach(peer_id)
+        reply = await node.host.reserve(request)
+        await asyncio.sleep(self._network.reply_delay_s)
+        await self._reach(peer_id)
+        return reply
+
+    async def update_holds(self, peer_id, request, limit):
+        node = await self._reach(peer_id)
+        return peer_pb2.HoldUpdatesReply(not_owned=node.host.update(request))
+
+    async def holdings(self, peer_id, request, limit):
+        node = await self._reach(peer_id)
+        found = node.reservations.held.at(request.upstream_id)
+        return peer_pb2.HoldingsReply(holdings=found)
+
+    async def fetch_tree(self, peer_id, request, limit):
+        node = await self._reach(peer_id)
+        update = node.shared.newer_than(request.revision)
+        return peer_pb2.FetchTreeReply(
+            revision=update.revision, branches=update.branches
+        )
+
+    async def close(self):
+        """Nothing is open."""
+
+    async def _reach(self, peer_id):
+        await asyncio.sleep(0.001)
+        if self._network.cut_ids & {peer_id, self._node_id}:
+            await asyncio.sleep(1)
+            raise PeerUnreachableError('cut off')
+        if peer_id not in self._network.node_by_id:
+            raise PeerUnreachableError('dead')
+        return self._network.node_by_id[peer_id]
--- /dev/null
+++ b/tests/test_entry_reservations.py
@@ -0,0 +1,234 @@
+"""Tests of memory that is promised once over all entries, under faults."""
+
+import asyncio
+import unittest
+
+from tests.cell_network import until
+from tests.fabric_network import FabricNetwork
+from tests.virtual_loop import run_virtual
+from verbenathread.entry import hold_messages
+from verbenathread.entry.owned_engine import ARRIVAL_MS
+from verbenathread.scheduling.ledger import START_WITHIN
+from verbenathread.scheduling.messages import Ask
+from verbenathread.types import RefusalReason, Reservation
+
+MEMORY = 400_000
+# Silence after a start, a round, and the wait of a new owner.
+OWNED_MS = 12_000
+
+
+def with_engines(size, *names):
+    """Run a test on a virtual loop, once each engine has an owner."""
+
+    def wrap(method):
+        def run(case):
+            async def main():
+                network = FabricNetwork(size)
+                for node_id in network.ids:
+                    await network.start(node_id)  # noqa: WPS476 - in order
+                renewals = asyncio.create_task(network.keep_announcing(*names))
+                owned = await until(
+                    lambda: all(map(network.owner, names)), OWNED_MS
+                )
+                case.assertTrue(owned)
+                # Others learn of the owner with its next renewal.
+                await asyncio.sleep(2)
+                await method(case, network)
+                renewals.cancel()
+                await network.close()
+
+            run_virtual(main())
+
+        return run
+
+    return wrap
+
+
+def others(network, name):
+    owner = network.owner(name)
+    return [node_id for node_id in network.node_by_id if node_id != owner]
+
+
+class MemoryTest(unittest.TestCase):
+    @with_engines(5, 'e1')
+    async def test_entries_that_ask_at_once_share_one_memory(self, network):
+        network.reply_delay_s = 0.3
+        asks = [
+            asyncio.create_task(network.reserve(node_id, 150_000))
+            for node_id in network.ids
+        ]
+        done, waiting = await asyncio.wait(asks, timeout=3)
+        granted = [
+            ask.result()
+            for ask in done
+            if isinstance(ask.result(), Reservation)
+        ]
+        self.assertEqual(len(waiting), 3)
+        self.assertEqual(len(granted), 2)
+        self.assertEqual(network.free('e1'), MEMORY - 300_000)
+
+    @with_engines(3, 'e1')
+    async def test_release_lets_the_next_waiter_in(self, network):
+        first, second = others(network, 'e1')
+        held = await network.reserve(first, 300_000)
+        network.engines.run(held, first)
+        waiting = asyncio.create_task(network.reserve(second, 300_000))
+        await asyncio.sleep(1)
+        self.assertFalse(waiting.done())
+        network.engines.end(held)
+        network.node_by_id[first].reservations.release(
+            held, output_tokens=1, failed=False
+        )
+        await asyncio.wait([waiting], timeout=1)
+        self.assertIsInstance(waiting.result(), Reservation)
+
+    @with_engines(3, 'e1')
+    async def test_caller_that_leaves_the_queue_takes_nothing(self, network):
+        first, second = others(network, 'e1')
+        held = await network.reserve(first, 300_000)
+        work = network.work(300_000)
+        reservations = network.node_by_id[second].reservations
+        waiting = asyncio.create_task(reservations.reserve(work, 'a'))
+        await asyncio.sleep(0.5)
+        reservations.abandon(work)
+        await asyncio.wait([waiting], timeout=1)
+        self.assertIs(waiting.result().reason, RefusalReason.NO_UPSTREAM)
+        network.node_by_id[first].reservations.release(
+            held, output_tokens=0, failed=False
+        )
+        await asyncio.sleep(1)
+        self.assertEqual(network.free('e1'), MEMORY)
+
+    @with_engines(3, 'e1', 'e2', 'e3')
+    async def test_group_is_held_whole_or_not_at_all(self, network):
+        group = await network.reserve('entry-0', 900_000)
+        self.assertEqual(group.upstream_ids, ('e1', 'e2', 'e3'))
+        network.engines.run(group, 'entry-0')
+        waiting = asyncio.create_task(network.reserve('entry-1', 900_000))
+        await asyncio.sleep(5)
+        self.assertFalse(waiting.done())
+        waiting.cancel()
+        too_long = await network.reserve('entry-1', 1_500_000)
+        self.assertIs(too_long.reason, RefusalReason.TOO_LONG)
+        network.engines.end(group)
+        network.node_by_id['entry-0'].reservations.release(
+            group, output_tokens=0, failed=False
+        )
+        await asyncio.sleep(5)
+        free = [network.free(name) for name in ('e1', 'e2', 'e3')]
+        self.assertEqual(free, [MEMORY, MEMORY, MEMORY])
+
+
+class TakeoverTest(unittest.TestCase):
+    async def new_owner(self, network, name, old):
+        """Wait for a new owner; return it and how long nobody owned."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        moved = await until(
+            lambda: network.owner(name) not in {None, old}, 20_000
+        )
+        self.assertTrue(moved)
+        return network.owner(name), int((loop.time() - began) * 1000)
+
+    @with_engines(5, 'e1')
+    async def test_new_owner_adopts_what_still_runs(self, network):
+        user = others(network, 'e1')[0]
+        held = await network.reserve(user, 150_000)
+        network.engines.run(held, user)
+        network.node_by_id[user].reservations.started(held)
+        await asyncio.sleep(1)
+        old = network.owner('e1')
+        await network.kill(old)
+        successor, waited = await self.new_owner(network, 'e1', old)
+        self.assertGreaterEqual(waited, START_WITHIN + ARRIVAL_MS)
+        self.assertEqual(network.free('e1'), MEMORY - 150_000)
+        self.assertIn(user, network.node_by_id)
+        network.engines.end(held)
+        network.node_by_id[user].reservations.release(
+            held, output_tokens=9, failed=False
+        )
+        await asyncio.sleep(2)
+        self.assertEqual(network.owner('e1'), successor)
+        self.assertEqual(network.free('e1'), MEMORY)
+
+    @with_engines(5, 'e1')
+    async def test_no_takeover_of_an_engine_that_cannot_be_read(self, network):
+        old = network.owner('e1')
+        network.engines.unreadable.add('e1')
+        await network.kill(old)
+        moved = await until(lambda: network.owner('e1'), 20_000)
+        self.assertFalse(moved)
+        network.engines.unreadable.clear()
+        moved = await until(lambda: network.owner('e1'), 2000)
+        self.assertTrue(moved)
+
+    @with_engines(5, 'e1', 'e2')
+    async def test_owner_cut_off_refuses_and_work_goes_elsewhere(self, network):
+        old = network.owner('e1')
+        network.cut_ids.add(old)
+        await self.new_owner(network, 'e1', old)
+        isolated = network.node_by_id[old]
+        self.assertEqual(isolated.cell.engine_leases.term('e1'), 0)
+        refused = await network.reserve(old, 5000, 3000)
+        self.assertNotIsInstance(refused, Reservation)
+        user = others(network, 'e1')[0]
+        granted = await network.reserve(user, 5000)
+        self.assertIsInstance(granted, Reservation)
+
+    @with_engines(5, 'e1')
+    async def test_owner_that_overslept_its_lease_refuses(self, network):
+        old = network.owner('e1')
+        frozen = network.node_by_id[old].host.engine('e1')
+        # Its tasks stand still; its memory of the ledger does not change.
+        await network.kill(old)
+        await self.new_owner(network, 'e1', old)
+        request = _request(network, old)
+        reply = await frozen.reserve(request)
+        self.assertEqual(reply.refusal, 'not_owner')
+
+    @with_engines(3, 'e1')
+    async def test_a_grant_that_comes_late_is_not_used(self, network):
+        user = others(network, 'e1')[0]
+        network.reply_delay_s = (START_WITHIN + 100) / 1000
+        outcome = await network.reserve(user, 5000, 5000)
+        self.assertNotIsInstance(outcome, Reservation)
+        network.reply_delay_s = 0.001
+        await asyncio.sleep(5)
+        self.assertEqual(network.free('e1'), MEMORY)
+
+
+class ReconcileTest(unittest.TestCase):
+    @with_engines(3, 'e1')
+    async def test_memory_of_a_dead_entry_stays_in_use(self, network):
+        user = others(network, 'e1')[0]
+        held = await network.reserve(user, 150_000)
+        network.engines.run(held, user)
+        await network.kill(user)
+        await asyncio.sleep(10)
+        self.assertEqual(network.free('e1'), MEMORY - 150_000)
+        network.engines.end(held)
+        await asyncio.sleep(3)
+        self.assertEqual(network.free('e1'), MEMORY)
+
+    @with_engines(3, 'e1')
+    async def test_lost_start_does_not_give_memory_out_twice(self, network):
+        user = others(network, 'e1')[0]
+        held = await network.reserve(user, 300_000)
+        network.engines.run(held, user)
+        network.cut_ids.add(user)
+        await asyncio.sleep(10)
+        self.assertEqual(network.free('e1'), MEMORY - 300_000)
+
+    @with_engines(3, 'e1')
+    async def test_grant_that_never_started_comes_back(self, network):
+        user = others(network, 'e1')[0]
+        await network.reserve(user, 300_000)
+        await network.kill(user)
+        await asyncio.sleep(6)
+        self.assertEqual(network.free('e1'), MEMORY)
+
+
+def _request(network, node_id):
+    work = network.work(5000)
+    ask = Ask(work, 'late', node_id, 5000)
+    return hold_messages.request_of('e1', ask, 1, work.arrival)
--- /dev/null
+++ b/verbenathread/entry/fabric_node.py
@@ -0,0 +1,157 @@
+"""The parts that join an entry to its cell and to control, on one loop."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.entry.claims import ClaimsClient
+from verbenathread.entry.engine_owners import EngineOwners
+from verbenathread.entry.hold_outbox import HoldOutbox
+from verbenathread.entry.ledger_host import HoldReader, LedgerHost
+from verbenathread.entry.load_reports import LoadReports
+from verbenathread.entry.node_access import NodeAccess
+from verbenathread.entry.node_reports import NodeReports
+from verbenathread.entry.peer_channels import PeerCalls, PeerChannels
+from verbenathread.entry.peers import PeerServer, PeerService
+from verbenathread.entry.reservations import EngineReservations
+from verbenathread.entry.session import ControlSession
+from verbenathread.entry.shared import SharedTree
+from verbenathread.entry.tree_fetch import TreeFetch
+from verbenathread.membership.cell import Cell, NodeIdentity
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import peer_pb2, settings_pb2
+from verbenathread.settings.node import parse_addresses, parse_peers
+from verbenathread.types import Millis, UpstreamId
+
+# Lease of an upstream whose service is not known here.
+_UNKNOWN_SERVICE_LEASE_MS = 6000
+_FLUSH_TRIES = 10
+_FLUSH_PAUSE_MS = 100
+
+_log = get_logger('fabric')
+
+
+class NodeContext(NamedTuple):
+    """What the parts of one node share."""
+
+    settings: settings_pb2.NodeSettings
+    incarnation: int
+    clock: Clock
+    rng: random.Random
+
+
+class FabricNode:
+    """Everything between this entry, its peers and control."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        shared: SharedTree,
+        reader: HoldReader,
+        channels: PeerCalls | None = None,
+    ) -> None:
+        """Connect the parts; nothing runs before :meth:`start`."""
+        settings = context.settings
+        clock = context.clock
+        self.shared = shared
+        peers = parse_peers(settings.entry.cell)
+        access = NodeAccess(settings.node)
+        others = [peer for peer in peers if peer.node_id != settings.node.id]
+        self._channels = channels or PeerChannels(others, access)
+        self._loads = LoadReports(clock)
+        self._fetch = TreeFetch(shared, self._channels)
+        self.cell = Cell(
+            NodeIdentity(
+                settings.node.id,
+                context.incarnation,
+                tuple(peer.node_id for peer in peers),
+            ),
+            self._channels,
+            clock,
+            self._lease_of,
+            riders=(self._loads, self._fetch),
+        )
+        self.host = LedgerHost(
+            self.cell, reader, shared.policy, self._holdings_at, clock
+        )
+        self.owners = EngineOwners(self.cell, self.host, self._channels, clock)
+        self.outbox = HoldOutbox(self.cell, self.owners)
+        self.reservations = EngineReservations(
+            self.cell, self.owners, self.outbox, shared, clock, context.rng
+        )
+        self._loads.connect(self.cell.table, self.reservations)
+        addresses = parse_addresses(settings.entry.control)
+        self.claims = ClaimsClient(addresses, settings.node, clock, context.rng)
+        reports = NodeReports(settings, self.cell, shared, clock)
+        self._session = ControlSession(
+            addresses, shared, reports.report, context.rng
+        )
+        self._server = PeerServer(
+            PeerService(self.cell, self.host, self.reservations.held, shared),
+            access,
+        )
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
+
+    async def start(self, listener: socket.socket) -> None:
+        """Serve peers on a bound socket and start every task."""
+        await self._server.start(listener)
+        self.cell.start()
+        self.host.start()
+        self._tasks = tuple(
+            _watched(work)
+            for work in (
+                self.outbox.run(),
+                self._session.run(),
+                self._fetch.run(),
+                self._loads.run(self.host),
+            )
+        )
+
+    async def stop(self) -> None:
+        """Send what is due, hand the leases over, and end."""
+        for _ in range(_FLUSH_TRIES):
+            if await self.outbox.flush():  # noqa: WPS476 - one try at a time
+                break
+            await asyncio.sleep(  # noqa: WPS476 - one try at a time
+                seconds(_FLUSH_PAUSE_MS)
+            )
+        self._session.report_soon()
+        await self.host.close()
+        await self.cell.stop()
+        await self.close()
+
+    async def close(self) -> None:
+        """End every task at once and tell nobody."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.host.close()
+        await self.cell.close()
+        await self._channels.close()
+        self.claims.close()
+        await self._server.stop()
+
+    async def _holdings_at(
+        self, upstream_id: UpstreamId
+    ) -> tuple[peer_pb2.Holding, ...]:
+        others = await self.owners.holdings_at(upstream_id)
+        return (*self.reservations.held.at(upstream_id), *others)
+
+    def _lease_of(self, service: str) -> Millis:
+        settings = self.shared.service(service)
+        return _UNKNOWN_SERVICE_LEASE_MS if settings is None else settings.lease
+
+
+def _watched(work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    """Start a task whose end by an error is logged at once."""
+    task = asyncio.create_task(work)
+    task.add_done_callback(_log_failure)
+    return task
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error('A task ended by an error.', exc_info=task.exception())
--- /dev/null
+++ b/verbenathread/entry/held_reservations.py
@@ -0,0 +1,78 @@
+"""What one entry has reserved and not released, and where work failed."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from verbenathread.schema import peer_pb2
+from verbenathread.types import Millis, Reservation, UpstreamId, Work
+
+
+class Held(NamedTuple):
+    """A reservation and the work that it is for."""
+
+    reservation: Reservation
+    work: Work
+    output_tokens: int = 0
+
+
+class HeldReservations:
+    """Reservations of this entry by attempt, and failures by request."""
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        self._held_by_attempt: dict[str, Held] = {}
+        self._failed_by_request: dict[str, set[UpstreamId]] = {}
+        self._deadline_by_request: dict[str, Millis] = {}
+
+    def __len__(self) -> int:
+        """Return how many reservations are held."""
+        return len(self._held_by_attempt)
+
+    def add(self, reservation: Reservation, work: Work) -> None:
+        """Note a reservation until it is removed."""
+        self._held_by_attempt[reservation.attempt_id] = Held(reservation, work)
+
+    def progress(self, attempt_id: str, output_tokens: int) -> None:
+        """Note how far the output has come."""
+        held = self._held_by_attempt.get(attempt_id)
+        if held is not None:
+            self._held_by_attempt[attempt_id] = held._replace(
+                output_tokens=output_tokens
+            )
+
+    def remove(self, attempt_id: str) -> Held | None:
+        """Forget a reservation; None if it was not held."""
+        return self._held_by_attempt.pop(attempt_id, None)
+
+    def at(self, upstream_id: UpstreamId) -> tuple[peer_pb2.Holding, ...]:
+        """Return what is reserved at one engine, for its new owner."""
+        return tuple(
+            peer_pb2.Holding(
+                attempt_id=attempt_id,
+                memory_tokens=_share(held.reservation),
+                prompt_tokens=held.work.prompt_tokens,
+                output_tokens=held.output_tokens,
+            )
+            for attempt_id, held in self._held_by_attempt.items()
+            if upstream_id in held.reservation.upstream_ids
+        )
+
+    def note_failed(self, held: Held, now: Millis) -> None:
+        """Remember, until its deadline, where a request failed."""
+        request_id = held.work.request_id
+        for old_id, deadline in tuple(self._deadline_by_request.items()):
+            if deadline < now:
+                self._deadline_by_request.pop(old_id)
+                self._failed_by_request.pop(old_id)
+        failed_ids = self._failed_by_request.setdefault(request_id, set())
+        failed_ids.update(held.reservation.upstream_ids)
+        self._deadline_by_request[request_id] = held.work.deadline
+
+    def failed_ids(self, request_id: str) -> Collection[UpstreamId]:
+        """Return the engines on which a request failed."""
+        return self._failed_by_request.get(request_id, frozenset())
+
+
+def _share(reservation: Reservation) -> int:
+    """Return the memory on each engine of a reservation."""
+    return -(-reservation.memory_tokens // len(reservation.upstream_ids))
--- /dev/null
+++ b/verbenathread/entry/ledger_host.py
@@ -0,0 +1,258 @@
+"""Ledgers of the engines whose leases this entry holds.
+
+A new owner first waits until no attempt that an old owner granted can still
+reach the engine, then reads what the engine holds, and only then grants. An
+engine that can't be read stays without an owner: it would not serve either.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Protocol
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.entry import hold_messages
+from verbenathread.entry.owned_engine import ARRIVAL_MS, OwnedEngine
+from verbenathread.exceptions import UnavailableError
+from verbenathread.membership.cell import Cell
+from verbenathread.membership.engine_leases import lengthened
+from verbenathread.observability.logs import get_logger
+from verbenathread.scheduling.ledger import START_WITHIN, EngineLedger
+from verbenathread.scheduling.messages import EngineHold, EngineReport
+from verbenathread.schema import peer_pb2, settings_pb2
+from verbenathread.types import Millis, NodeId, UpstreamId, UpstreamRecord
+
+# How often leases are followed and queues are looked at.
+_STEP_MS = 100
+# How often doubtful grants are compared with what the engine lists.
+_RECONCILE_MS = 1000
+# Time that an engine has to list what it holds.
+_READ_MS = 1000
+_READ_AGAIN_MS = 500
+
+_log = get_logger('owner')
+
+
+class HoldReader(Protocol):
+    """Reads what an engine holds."""
+
+    async def holds(
+        self, record: UpstreamRecord, limit: Millis
+    ) -> Sequence[EngineHold]:
+        """Return the attempts that it holds memory for.
+
+        Raises :class:`UnavailableError` when it can't be read in time.
+        """
+
+
+class HoldingsSource(Protocol):
+    """Asks all entries what they reserved at an engine."""
+
+    async def __call__(
+        self, upstream_id: UpstreamId
+    ) -> Sequence[peer_pb2.Holding]:
+        """Return what those that answer in time hold."""
+
+
+class LedgerHost:
+    """Follows the leases of this entry and serves those who ask."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        reader: HoldReader,
+        policy_of: Callable[[str], settings_pb2.PolicySettings],
+        holdings_at: HoldingsSource,
+        clock: Clock,
+    ) -> None:
+        """Own nothing before :meth:`start`."""
+        self._cell = cell
+        self._reader = reader
+        self._policy_of = policy_of
+        self._holdings_at = holdings_at
+        self._clock = clock
+        self._engine_by_id: dict[UpstreamId, OwnedEngine] = {}
+        self._term_by_id: dict[UpstreamId, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Start to follow the leases and to reconcile doubtful grants."""
+        self._spawn(self._follow())
+        self._spawn(self._reconcile())
+
+    async def close(self) -> None:
+        """Send all waiters elsewhere and end all tasks."""
+        for upstream_id in tuple(self._term_by_id):
+            self._lose(upstream_id)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def owned_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the engines that this entry grants memory of now."""
+        return tuple(self._engine_by_id)
+
+    def engine(self, upstream_id: UpstreamId) -> OwnedEngine | None:
+        """Return one engine that is owned here, or None."""
+        return self._engine_by_id.get(upstream_id)
+
+    async def reserve(
+        self, request: peer_pb2.ReserveRequest
+    ) -> peer_pb2.ReserveReply:
+        """Answer an ask for memory, from this entry or a peer."""
+        engine = self.engine(request.upstream_id)
+        if engine is None:
+            return hold_messages.not_owner(
+                self._cell.identity.node_id, request.upstream_id
+            )
+        return await engine.reserve(request)
+
+    def update(self, updates: peer_pb2.HoldUpdates) -> tuple[UpstreamId, ...]:
+        """Take progress and releases; return the engines not owned here."""
+        not_owned = []
+        for update in updates.updates:
+            engine = self._engine_by_id.get(update.upstream_id)
+            if engine is None:
+                not_owned.append(update.upstream_id)
+                continue
+            engine.update(update)
+        return tuple(not_owned)
+
+    def reports(self) -> tuple[EngineReport, ...]:
+        """Return the load of every engine that is owned here."""
+        return tuple(
+            engine.ledger.report() for engine in self._engine_by_id.values()
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(self) -> None:
+        while True:
+            self._follow_terms()
+            for engine in tuple(self._engine_by_id.values()):
+                engine.pump()
+            await asyncio.sleep(seconds(_STEP_MS))
+
+    def _follow_terms(self) -> None:
+        leases = self._cell.engine_leases
+        for owned_id, owned_term in tuple(self._term_by_id.items()):
+            if leases.term(owned_id) != owned_term:
+                self._lose(owned_id)
+        for engine_id in self._cell.engine_ids():
+            term = leases.term(engine_id)
+            if term and engine_id not in self._term_by_id:
+                self._term_by_id[engine_id] = term
+                self._spawn(self._take_over(engine_id, term))
+
+    def _lose(self, upstream_id: UpstreamId) -> None:
+        self._term_by_id.pop(upstream_id)
+        engine = self._engine_by_id.pop(upstream_id, None)
+        if engine is not None:
+            engine.close()
+            _log.info('The lease of an engine ended.', engine=upstream_id)
+
+    async def _take_over(self, upstream_id: UpstreamId, term: int) -> None:
+        await asyncio.sleep(seconds(lengthened(START_WITHIN) + ARRIVAL_MS))
+        while self._term_by_id.get(upstream_id) == term:
+            record = self._cell.table.get(upstream_id)
+            if record is None:
+                return
+            try:
+                holds = await self._read(record)
+            except UnavailableError as error:
+                _log.info('An engine is not readable.', why=str(error))
+                await asyncio.sleep(seconds(_READ_AGAIN_MS))
+                continue
+            if self._term_by_id.get(upstream_id) == term:
+                self._open(record, holds, term)
+            return
+
+    async def _read(self, record: UpstreamRecord) -> tuple[EngineHold, ...]:
+        """Return what the engine holds, with what entries reserved for it."""
+        holdings = await self._holdings_at(record.upstream_id)
+        holding_by_attempt = {
+            holding.attempt_id: holding for holding in holdings
+        }
+        # The engine is read last: it knows what ended meanwhile.
+        listed = await self._reader.holds(record, _READ_MS)
+        return tuple(
+            _completed(hold, holding_by_attempt.get(hold.attempt_id))
+            for hold in listed
+        )
+
+    def _open(
+        self,
+        record: UpstreamRecord,
+        holds: tuple[EngineHold, ...],
+        term: int,
+    ) -> None:
+        leases = self._cell.engine_leases
+        upstream_id = record.upstream_id
+        engine = OwnedEngine(
+            EngineLedger(
+                upstream_id,
+                record.memory_tokens,
+                self._policy_of(record.service),
+                self._clock,
+            ),
+            lambda: leases.term(upstream_id) == term,
+            self._clock,
+            node_id=self._cell.identity.node_id,
+            incarnation=self._cell.identity.incarnation,
+        )
+        engine.adopt(holds)
+        self._engine_by_id[upstream_id] = engine
+        _log.info('An engine is owned.', engine=upstream_id, holds=len(holds))
+
+    async def _reconcile(self) -> None:
+        while True:
+            await asyncio.sleep(seconds(_RECONCILE_MS))
+            await asyncio.gather(
+                *[
+                    self._reconcile_one(upstream_id, engine)
+                    for upstream_id, engine in self._engine_by_id.items()
+                ]
+            )
+
+    async def _reconcile_one(
+        self, upstream_id: UpstreamId, engine: OwnedEngine
+    ) -> None:
+        record = self._cell.table.get(upstream_id)
+        if record is None:
+            return
+        engine.ledger.policy = self._policy_of(record.service)
+        doubtful = engine.doubtful(self._is_alive)
+        if not doubtful:
+            return
+        try:
+            listed = await self._reader.holds(record, _READ_MS)
+        except UnavailableError:
+            # What can't be read may still be held.
+            return
+        listed_ids = frozenset(hold.attempt_id for hold in listed)
+        for grant in doubtful:
+            engine.settle(grant, listed_ids)
+
+    def _is_alive(self, entry_id: NodeId, incarnation: int) -> bool:
+        identity = self._cell.identity
+        if entry_id == identity.node_id:
+            return incarnation in {0, identity.incarnation}
+        view = self._cell.views.by_id.get(entry_id)
+        if view is None or not view.alive(self._clock.now()):
+            return False
+        return incarnation in {0, view.incarnation}
+
+
+def _completed(
+    hold: EngineHold, holding: peer_pb2.Holding | None
+) -> EngineHold:
+    """Return a hold with the larger memory that its entry reserved."""
+    if holding is None:
+        return hold
+    return hold._replace(
+        memory_tokens=max(hold.memory_tokens, holding.memory_tokens),
+        prompt_tokens=holding.prompt_tokens,
+        output_tokens=holding.output_tokens,
+    )
--- /dev/null
+++ b/verbenathread/entry/peers.py
@@ -0,0 +1,124 @@
+"""The gRPC service that an entry offers to the others of its cell."""
+
+import socket
+from collections.abc import Sequence
+from typing import Protocol
+
+import grpclib
+from grpclib.server import Server, Stream
+
+from verbenathread.entry.ledger_host import LedgerHost
+from verbenathread.entry.node_access import NodeAccess
+from verbenathread.entry.shared import SharedTree
+from verbenathread.exceptions import UnavailableError
+from verbenathread.membership.cell import Cell
+from verbenathread.schema import peer_grpc, peer_pb2
+from verbenathread.types import Address, UpstreamId
+
+
+class HoldingsBook(Protocol):
+    """What this entry has reserved."""
+
+    def at(self, upstream_id: UpstreamId) -> Sequence[peer_pb2.Holding]:
+        """Return what is reserved at one engine."""
+
+
+class PeerService(peer_grpc.PeerBase):
+    """Answers the other entries."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        host: LedgerHost,
+        holdings: HoldingsBook,
+        shared: SharedTree,
+    ) -> None:
+        """Take the parts that answer."""
+        self._cell = cell
+        self._host = host
+        self._holdings = holdings
+        self._shared = shared
+
+    async def Link(  # noqa: N802 - the name in the schema
+        self, stream: Stream[peer_pb2.PeerMessage, peer_pb2.PeerReply]
+    ) -> None:
+        """Answer each message of one peer, in order."""
+        while True:
+            message = await stream.recv_message()
+            if message is None:
+                return
+            try:
+                reply = self._cell.answer(message)
+            except UnavailableError as error:
+                raise grpclib.GRPCError(
+                    grpclib.Status.FAILED_PRECONDITION, str(error)
+                ) from None
+            await stream.send_message(reply)
+
+    async def Reserve(  # noqa: N802 - the name in the schema
+        self, stream: Stream[peer_pb2.ReserveRequest, peer_pb2.ReserveReply]
+    ) -> None:
+        """Wait for memory; the wait ends when the caller leaves."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._host.reserve(request))
+
+    async def UpdateHolds(  # noqa: N802 - the name in the schema
+        self, stream: Stream[peer_pb2.HoldUpdates, peer_pb2.HoldUpdatesReply]
+    ) -> None:
+        """Take progress and releases."""
+        request = await stream.recv_message()
+        if request is not None:
+            not_owned = self._host.update(request)
+            await stream.send_message(
+                peer_pb2.HoldUpdatesReply(not_owned=not_owned)
+            )
+
+    async def Holdings(  # noqa: N802 - the name in the schema
+        self, stream: Stream[peer_pb2.HoldingsRequest, peer_pb2.HoldingsReply]
+    ) -> None:
+        """Tell a new owner what is reserved at its engine."""
+        request = await stream.recv_message()
+        if request is not None:
+            found = self._holdings.at(request.upstream_id)
+            await stream.send_message(peer_pb2.HoldingsReply(holdings=found))
+
+    async def FetchTree(  # noqa: N802 - the name in the schema
+        self, stream: Stream[peer_pb2.FetchTreeRequest, peer_pb2.FetchTreeReply]
+    ) -> None:
+        """Hand out the shared settings that run here."""
+        request = await stream.recv_message()
+        if request is not None:
+            update = self._shared.newer_than(request.revision)
+            await stream.send_message(
+                peer_pb2.FetchTreeReply(
+                    revision=update.revision, branches=update.branches
+                )
+            )
+
+
+class PeerServer:
+    """Listens for the other entries."""
+
+    def __init__(self, service: PeerService, access: NodeAccess) -> None:
+        """Refuse callers without the key of the cluster."""
+        self._server = Server([service])
+        access.guard(self._server)
+
+    async def start(self, listener: socket.socket) -> None:
+        """Serve on a bound socket."""
+        await self._server.start(sock=listener)
+
+    async def stop(self) -> None:
+        """Stop listening and end every call."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+def bound_socket(address: Address) -> socket.socket:
+    """Return a socket bound to an address; port 0 takes any free port."""
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(tuple(address))
+    return listener
--- /dev/null
+++ b/verbenathread/entry/reservations.py
@@ -0,0 +1,291 @@
+"""Reservations of engine memory, as the callers' side of an entry asks.
+
+The router orders a few engines; the owner of each grants at once or says how
+long the wait is; if nobody grants at once, the ask waits at the shortest
+queue. An owner that is gone sends the ask to the next engine.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.entry import hold_messages
+from verbenathread.entry.engine_owners import EngineOwners
+from verbenathread.entry.group_reservations import GroupReservation
+from verbenathread.entry.held_reservations import HeldReservations
+from verbenathread.entry.hold_outbox import HoldOutbox
+from verbenathread.entry.shared import SharedTree
+from verbenathread.membership.cell import Cell
+from verbenathread.scheduling.groups import GroupClaim, group_size
+from verbenathread.scheduling.messages import Ask, EngineReport
+from verbenathread.scheduling.router import Router
+from verbenathread.schema import peer_pb2
+from verbenathread.types import (
+    Refusal,
+    RefusalReason,
+    Reservation,
+    UpstreamId,
+    UpstreamKind,
+    UpstreamRecord,
+    Work,
+)
+
+# Pause before engines are chosen anew, after no owner could be asked.
+_AGAIN_MS = 100
+# How long an ask looks for an owner before it is refused.
+_NO_OWNER_MS = 1000
+_RETRY_AFTER_MS = 2000
+
+_Outcome = Reservation | Refusal
+
+
+class EngineReservations:
+    """Reserves memory at the owners of engines; runs on the event loop."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        owners: EngineOwners,
+        outbox: HoldOutbox,
+        settings: SharedTree,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Hold nothing at first."""
+        self.held = HeldReservations()
+        self._cell = cell
+        self._owners = owners
+        self._outbox = outbox
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._router_by_service: dict[str, Router] = {}
+        self._task_by_request: dict[str, asyncio.Task[_Outcome]] = {}
+
+    async def reserve(self, work: Work, attempt_id: str) -> _Outcome:
+        """Wait for memory until the deadline of the work."""
+        task = asyncio.create_task(self._reserve(work, attempt_id))
+        self._task_by_request[work.request_id] = task
+        try:
+            await asyncio.wait([task])
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        finally:
+            self._task_by_request.pop(work.request_id, None)
+        if task.cancelled():
+            return Refusal(RefusalReason.NO_UPSTREAM, 'The caller has gone.', 0)
+        outcome = task.result()
+        if isinstance(outcome, Reservation):
+            self.held.add(outcome, work)
+            for upstream_id in outcome.upstream_ids:
+                router = self._router(work.service)
+                router.note_sent(upstream_id, work, self._clock.now())
+        return outcome
+
+    def abandon(self, work: Work) -> None:
+        """Stop waiting: the caller has gone."""
+        task = self._task_by_request.get(work.request_id)
+        if task is not None:
+            task.cancel()
+
+    def started(self, reservation: Reservation) -> None:
+        """Tell the owners that the engine has taken the attempt."""
+        self._tell(reservation, peer_pb2.HoldUpdate(started=True))
+
+    def progress(self, reservation: Reservation, output_tokens: int) -> None:
+        """Tell the owners how far the output has come."""
+        self.held.progress(reservation.attempt_id, output_tokens)
+        self._tell(
+            reservation,
+            peer_pb2.HoldUpdate(started=True, output_tokens=output_tokens),
+        )
+
+    def release(
+        self, reservation: Reservation, *, output_tokens: int, failed: bool
+    ) -> None:
+        """Give the memory back once the engines hold nothing of it."""
+        held = self.held.remove(reservation.attempt_id)
+        if held is None:
+            return
+        if failed:
+            self.held.note_failed(held, self._clock.now())
+        for upstream_id in reservation.upstream_ids:
+            self._router(held.work.service).note_done(upstream_id, held.work)
+        self._tell(
+            reservation,
+            peer_pb2.HoldUpdate(
+                released=True, failed=failed, output_tokens=output_tokens
+            ),
+        )
+
+    def note_report(self, report: EngineReport) -> None:
+        """Take the load of an engine from its owner."""
+        record = self._cell.table.get(report.upstream_id)
+        if record is not None:
+            router = self._router(record.service)
+            router.note_report(report, self._clock.now())
+
+    async def _reserve(self, work: Work, attempt_id: str) -> _Outcome:
+        give_up_at = self._clock.now() + _NO_OWNER_MS
+        while True:
+            engines = self._engines(work.service)
+            outcome = await self._round(work, attempt_id, engines)
+            if outcome is not None:
+                return outcome
+            if self._clock.now() >= give_up_at:
+                return Refusal(
+                    RefusalReason.NO_UPSTREAM,
+                    f'No engine of {work.service} takes work now; retry later.',
+                    _RETRY_AFTER_MS,
+                )
+            await asyncio.sleep(seconds(_AGAIN_MS))
+
+    async def _round(
+        self, work: Work, attempt_id: str, engines: Sequence[UpstreamRecord]
+    ) -> _Outcome | None:
+        """Choose and ask once; None if no owner could be asked."""
+        if not engines:
+            return None
+        order = self._order(work, engines)
+        needed = work.prompt_tokens + work.most_output_tokens
+        size = group_size(
+            needed,
+            max(engine.memory_tokens for engine in engines),
+            self._settings.policy(work.service),
+        )
+        if size > len(engines):
+            return Refusal(
+                RefusalReason.TOO_LONG,
+                f'The prompt needs {size} engines and {len(engines)} serve '
+                + f'{work.service}; split it.',
+                0,
+            )
+        if size > 1:
+            members = _members(order, engines, size)
+            return await self._group(work, attempt_id, members, needed)
+        ask = Ask(
+            work,
+            attempt_id,
+            self._cell.identity.node_id,
+            needed,
+            weight=self._weight(work.account),
+        )
+        return await self._single(ask, order)
+
+    async def _single(
+        self, ask: Ask, order: Sequence[UpstreamId]
+    ) -> _Outcome | None:
+        refusals: dict[UpstreamId, peer_pb2.ReserveReply] = {}
+        waits: dict[UpstreamId, int] = {}
+        for upstream_id in order:
+            # One after the other, or two owners would hold memory for it.
+            outcome = await self._owners.reserve(  # noqa: WPS476 - see above
+                upstream_id, ask, may_queue=False
+            )
+            if isinstance(outcome, Reservation):
+                return outcome
+            if outcome.refusal == hold_messages.QUEUED:
+                waits[upstream_id] = outcome.retry_after_ms
+            elif outcome.refusal != hold_messages.NOT_OWNER:
+                refusals[upstream_id] = outcome
+        if waits:
+            shortest_id = min(waits, key=waits.__getitem__)
+            return _final(
+                await self._owners.reserve(shortest_id, ask, may_queue=True)
+            )
+        if not refusals:
+            return None
+        soonest = min(
+            refusals.values(), key=lambda refusal: refusal.retry_after_ms
+        )
+        return hold_messages.refusal_of(soonest)
+
+    async def _group(
+        self,
+        work: Work,
+        attempt_id: str,
+        members: Sequence[UpstreamId],
+        needed: int,
+    ) -> _Outcome | None:
+        claim = GroupClaim(
+            work, attempt_id, self._cell.identity.node_id, members, needed
+        )
+        try:
+            outcome = await GroupReservation(claim, self._owners).reserve()
+        except asyncio.CancelledError:
+            self._give_back(claim)
+            raise
+        if isinstance(outcome, peer_pb2.ReserveReply):
+            self._give_back(claim)
+        return _final(outcome)
+
+    def _give_back(self, claim: GroupClaim) -> None:
+        for held in claim.held():
+            self._tell(held, peer_pb2.HoldUpdate(released=True))
+
+    def _tell(
+        self, reservation: Reservation, update: peer_pb2.HoldUpdate
+    ) -> None:
+        for upstream_id in reservation.upstream_ids:
+            told = peer_pb2.HoldUpdate()
+            told.CopyFrom(update)
+            told.upstream_id = upstream_id
+            told.attempt_id = reservation.attempt_id
+            told.reservation_id = f'{upstream_id}/{reservation.attempt_id}'
+            self._outbox.put(told)
+
+    def _engines(self, service: str) -> list[UpstreamRecord]:
+        """Return the engines of a service that have an owner, in order."""
+        leases = self._cell.engine_leases
+        return sorted(
+            record
+            for record in self._cell.table.ready(service)
+            if record.kind is UpstreamKind.ENGINE
+            and leases.owner(record.upstream_id) is not None
+        )
+
+    def _order(
+        self, work: Work, engines: Sequence[UpstreamRecord]
+    ) -> list[UpstreamId]:
+        router = self._router(work.service)
+        router.policy = self._settings.policy(work.service)
+        failed_ids = self.held.failed_ids(work.request_id)
+        now = self._clock.now()
+        order = router.choose(work, engines, now, failed_ids)
+        if order:
+            return order
+        # It failed everywhere; what is left is to try once more.
+        return router.choose(work, engines, now)
+
+    def _router(self, service: str) -> Router:
+        if service not in self._router_by_service:
+            self._router_by_service[service] = Router(
+                self._settings.policy(service), self._rng
+            )
+        return self._router_by_service[service]
+
+    def _weight(self, account: str) -> float:
+        settings = self._settings.account(account)
+        return 1.0 if settings is None else settings.weight
+
+
+def _members(
+    order: Sequence[UpstreamId], engines: Sequence[UpstreamRecord], size: int
+) -> list[UpstreamId]:
+    """Return the best engines, filled up with others in their order."""
+    rest = [
+        engine.upstream_id
+        for engine in engines
+        if engine.upstream_id not in order
+    ]
+    return [*order, *rest][:size]
+
+
+def _final(outcome: Reservation | peer_pb2.ReserveReply) -> _Outcome | None:
+    if isinstance(outcome, Reservation):
+        return outcome
+    if outcome.refusal == hold_messages.NOT_OWNER:
+        return None
+    return hold_messages.refusal_of(outcome)
--- /dev/null
+++ b/verbenathread/entry/session.py
@@ -0,0 +1,124 @@
+"""Session of a node with any control process: reports up, settings down."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Sequence
+
+import grpclib
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import StreamTerminatedError
+
+from verbenathread.clock import seconds
+from verbenathread.entry.background import Background
+from verbenathread.entry.shared import SharedTree
+from verbenathread.observability.logs import get_logger
+from verbenathread.schema import control_grpc, control_pb2
+from verbenathread.types import Address
+
+# A report goes up this often, and at once after an update.
+_REPORT_MS = 1000
+_FIRST_BACKOFF_MS = 50
+_LONGEST_BACKOFF_MS = 2000
+# A control process that answers no ping for this long is given up.
+_PING_EVERY_S = 3.0
+_PING_TIMEOUT_S = 3.0
+
+FAULTS = (
+    grpclib.GRPCError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    asyncio.TimeoutError,
+)
+
+_SessionStream = grpclib.client.Stream[
+    control_pb2.NodeReport, control_pb2.TreeUpdate
+]
+
+_log = get_logger('session')
+
+
+def control_channel(address: Address) -> Channel:
+    """Return a channel that notices a control process that went silent."""
+    config = Configuration(
+        _keepalive_time=_PING_EVERY_S,
+        _keepalive_timeout=_PING_TIMEOUT_S,
+        _keepalive_permit_without_calls=False,
+        _http2_max_pings_without_data=0,
+    )
+    return Channel(address.host, address.port, config=config)
+
+
+class ControlSession:
+    """One task that holds a session with one control process at a time."""
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        shared: SharedTree,
+        report: Callable[[], control_pb2.NodeReport],
+        rng: random.Random,
+    ) -> None:
+        """``report`` tells who the node is and what it runs."""
+        self._addresses = tuple(addresses)
+        self._shared = shared
+        self._report = report
+        self._rng = rng
+        self._due = asyncio.Event()
+
+    def report_soon(self) -> None:
+        """Send a report now instead of at its time."""
+        self._due.set()
+
+    async def run(self) -> None:
+        """Hold a session, with any control process, until cancelled."""
+        backoff = _FIRST_BACKOFF_MS
+        position = self._rng.randrange(len(self._addresses))
+        while True:
+            address = self._addresses[position % len(self._addresses)]
+            position += 1
+            if await self._hold(address):
+                backoff = _FIRST_BACKOFF_MS
+            jitter = self._rng.uniform(0.5, 1)
+            await asyncio.sleep(seconds(int(backoff * jitter)))
+            backoff = min(backoff * 2, _LONGEST_BACKOFF_MS)
+
+    async def _hold(self, address: Address) -> bool:
+        """Hold one session to its end; say whether it ever brought news."""
+        channel = control_channel(address)
+        stub = control_grpc.ControlStub(channel)
+        heard = False
+        try:
+            async with stub.Session.open() as stream:
+                await stream.send_message(self._report())
+                heard = await self._follow(stream)
+        except FAULTS as error:
+            _log.info(
+                'A session with control ended.',
+                control=str(address),
+                why=str(error),
+            )
+        finally:
+            channel.close()
+        return heard
+
+    async def _follow(self, stream: _SessionStream) -> bool:
+        heard = False
+        async with Background(self._send_reports(stream)):
+            while True:
+                update = await stream.recv_message()
+                if update is None:
+                    return heard
+                heard = True
+                self._shared.take(update)
+                self._due.set()
+
+    async def _send_reports(self, stream: _SessionStream) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds(_REPORT_MS)):
+                    await self._due.wait()
+            self._due.clear()
+            await stream.send_message(self._report())
--- a/verbenathread/membership/cell.py
+++ b/verbenathread/membership/cell.py
@@ -65,6 +65,16 @@
         """Return the reply, or raise :class:`PeerUnreachableError`."""
 
 
+class Rider(Protocol):
+    """Something else that travels with the messages of a cell."""
+
+    def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
+        """Put what is due for a peer into a message to it."""
+
+    def take(self, message: peer_pb2.PeerMessage) -> None:
+        """Take what came with a message."""
+
+
 class NodeIdentity(NamedTuple):
     """Who a node is; the incarnation grows with each start."""
 
@@ -88,6 +98,7 @@
         lease_of: Callable[[str], Millis],
         *,
         lease: Millis = LONGEST_LEASE_MS,
+        riders: tuple[Rider, ...] = (),
     ) -> None:
         """Take what carries messages, and the upstream lease of a service."""
         self.identity = identity
@@ -103,6 +114,7 @@
             node_id=identity.node_id,
             lease=lease,
         )
+        self._riders = riders
         self._clock = clock
         self._transport = transport
         self._upstream_leases = UpstreamLeases(
@@ -183,6 +195,8 @@
                 + 'older process of the two that share this name'
             )
         self._gossip.answer(message.node_id, message, reply, now)
+        for rider in self._riders:
+            rider.take(message)
         for upstream_hash in message.heard_asks:
             age = self._upstream_leases.age(upstream_hash, now)
             reply.heard_ages.append(0 if age is None else age + 1)
@@ -259,6 +273,8 @@
         )
         self._gossip.compose(peer_id, message)
         message.heard_asks.extend(self._questions)
+        for rider in self._riders:
+            rider.compose(peer_id, message)
         asks = wire.ordered_asks(
             self.engine_leases.take_asks(peer_id), view.incarnation
         )
--- a/verbenathread/membership/engine_leases.py
+++ b/verbenathread/membership/engine_leases.py
@@ -81,6 +81,8 @@
         self.life_by_node: dict[NodeId, int] = {}
         self.accepted_ids: set[NodeId] = set()
         self.held_until: Millis = 0
+        # Grows with each acquisition after a time without the lease.
+        self.term = 0
         self.act_at: Millis = 0
 
 
@@ -115,6 +117,17 @@
         """Tell whether this node owns the engine at this moment."""
         return self._clock.now() < self.held_until(upstream_id)
 
+    def term(self, upstream_id: UpstreamId) -> int:
+        """Return which unbroken time of ownership this is; 0 if none.
+
+        What was read of an engine in one term is void in the next, since
+        another node may have owned it between them.
+        """
+        state = self._state_by_engine.get(hash64(upstream_id))
+        if state is None or self._clock.now() >= state.held_until:
+            return 0
+        return state.term
+
     def held_until(self, upstream_id: UpstreamId) -> Millis:
         """Return the end of this node's lease, 0 if it never had one."""
         state = self._state_by_engine.get(hash64(upstream_id))
@@ -272,6 +285,7 @@
         if len(state.accepted_ids) < self._majority:
             return
         if now >= state.held_until:
+            state.term += 1
             state.act_at = state.began + self.lease // _RENEWALS_PER_LEASE
         state.held_until = max(
             state.held_until, state.began + shortened(self.lease)
