--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -1,11 +1,306 @@
-"""Replay the recorded traces against the stated bounds."""
+"""Replay the scenarios beside the baselines and check the stated bounds.
 
+Prints one line per scenario and policy. KNOWN-RED.txt may list bounds that
+are known to fail, each as a line ``bound: NAME``; the exit code is 0 when no
+other bound fails.
+"""
+
+import argparse
+import json
 import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+from verbenathread.replay.generator import MIX_BY_DEPLOYMENT, capacity
+from verbenathread.replay.measures import (
+    Measures,
+    high_first_token,
+    is_short,
+    measure,
+    slowdown,
+)
+from verbenathread.replay.policies import POLICY_BY_NAME
+from verbenathread.replay.results import ReplayResult, RequestResult
+from verbenathread.replay.scenarios import Scenario, scenarios
+
+_KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
+_BOUND_KEY = 'bound:'
+_OURS = 'current'
+_BASELINES = ('previous', 'fifo', 'least')
+_STEADY = 'load-'
+_USUAL = 'load-80'
+_FLOODING = 6
+# The bounds of issue 5.
+_SHORT_FIRST_TOKEN_MS = 630
+_SHORT_SLOWDOWN = 1.25
+_LONG_REFUSED_SHARE = 0.02
+_GOODPUT_KEPT = 0.9
+_FLOOD_CHANGE = 1.1
+
+
+class Line(NamedTuple):
+    """The figures of one scenario under one policy."""
+
+    deployment: str
+    scenario: str
+    policy: str
+    measures: Measures
+    goodput: float
+    violations: dict[str, int]
+    short_slowdown: float | None
+    # First token of the accounts that do not flood, p95 in ms.
+    others_short: float
+    others_all: float
+
+
+class Bound(NamedTuple):
+    """One bound and the figure that was measured against it."""
+
+    name: str
+    limit: float
+    figure: float
+    # The figure must not be below the limit, in place of not above.
+    is_least: bool = False
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether the figure is within the bound."""
+        if self.is_least:
+            return self.figure >= self.limit
+        return self.figure <= self.limit
+
+
+def _line(scenario: Scenario, policy_name: str) -> Line:
+    policy = POLICY_BY_NAME[policy_name]
+    result = scenario.run(policy)
+    deployment = scenario.deployment
+    measures = measure(result, deployment.to_clients)
+    ratio = None
+    if scenario.name == _USUAL:
+        alone = scenario.run_short_alone(policy)
+        ratio = slowdown(result, alone, deployment.to_clients)
+    mix = MIX_BY_DEPLOYMENT[deployment.name]
+    return Line(
+        deployment=deployment.name,
+        scenario=scenario.name,
+        policy=policy_name,
+        measures=measures,
+        goodput=measures.good_rate / capacity(deployment, mix),
+        violations=result.violations._asdict(),
+        short_slowdown=ratio,
+        others_short=_others(scenario, result, short_only=True),
+        others_all=_others(scenario, result, short_only=False),
+    )
+
+
+def _others(
+    scenario: Scenario, result: ReplayResult, *, short_only: bool
+) -> float:
+    """Return the p95 first token of every account but the one that floods."""
+    mix = MIX_BY_DEPLOYMENT[scenario.deployment.name]
+    flooding = list(mix.share_by_account)[_FLOODING]
+
+    def wanted(ended: RequestResult) -> bool:  # noqa: WPS430 - a filter.
+        if short_only and not is_short(ended):
+            return False
+        return ended.request.account != flooding
+
+    return high_first_token(result, wanted, scenario.deployment.to_clients)
+
+
+def _text(line: Line) -> str:
+    times = ' '.join(
+        f'{first.bucket} {first.p50:.0f}/{first.p95:.0f}/{first.p99:.0f}'
+        for first in line.measures.first_tokens
+    )
+    ratio = ''
+    if line.short_slowdown is not None:
+        ratio = f' slowdown {line.short_slowdown:.2f}'
+    measures = line.measures
+    ends = ' '.join(
+        f'{name} {getattr(measures, name)}'
+        for name in ('refused', 'missed', 'failed', 'lost')
+    )
+    return (
+        f'{line.deployment} {line.scenario} {line.policy}: '
+        f'first token ms p50/p95/p99 {times}{ratio} '
+        f'requests {measures.requests} {ends} '
+        f'(long refused {measures.long_refused} of {measures.long_requests}) '
+        f'goodput {line.goodput:.3f}'
+    )
+
+
+def _bounds(lines: Sequence[Line]) -> list[Bound]:
+    by_key = {
+        (line.deployment, line.scenario): line
+        for line in lines
+        if line.policy == _OURS
+    }
+    found = []
+    for ours in by_key.values():
+        found.extend(_always(ours))
+        if ours.scenario == _USUAL:
+            found.extend(_usual(ours))
+    for deployment in sorted({deployment for deployment, _ in by_key}):
+        usual = by_key.get((deployment, _USUAL))
+        flood = by_key.get((deployment, 'flood'))
+        if usual is not None and flood is not None:
+            found.extend(_flood(usual, flood))
+        below = by_key.get((deployment, 'load-95'))
+        above = by_key.get((deployment, 'load-120'))
+        if below is not None and above is not None:
+            kept = above.goodput / max(below.goodput, 1e-9)
+            name = f'{deployment}/goodput-at-120'
+            found.append(Bound(name, _GOODPUT_KEPT, kept, is_least=True))
+    return found
+
+
+def _always(line: Line) -> list[Bound]:
+    """Return what must hold at any load, with any failure."""
+    start = f'{line.deployment}/{line.scenario}'
+    broken = sum(line.violations.values())
+    return [
+        Bound(f'{start}/misses', 0, line.measures.missed),
+        Bound(f'{start}/violations', 0, broken),
+    ]
+
+
+def _usual(line: Line) -> list[Bound]:
+    start = f'{line.deployment}/{line.scenario}'
+    measures = line.measures
+    long_refused = measures.long_refused / max(1, measures.long_requests)
+    return [
+        Bound(
+            f'{start}/short-first-token',
+            _SHORT_FIRST_TOKEN_MS,
+            measures.first_tokens[0].p95,
+        ),
+        Bound(
+            f'{start}/short-slowdown',
+            _SHORT_SLOWDOWN,
+            line.short_slowdown or 0,
+        ),
+        Bound(f'{start}/long-unfinished', 0, measures.long_unfinished),
+        Bound(f'{start}/long-refused', _LONG_REFUSED_SHARE, long_refused),
+    ]
+
+
+def _flood(usual: Line, flood: Line) -> list[Bound]:
+    start = f'{usual.deployment}/flood'
+    return [
+        Bound(
+            f'{start}/others-short',
+            _FLOOD_CHANGE,
+            flood.others_short / max(1, usual.others_short),
+        ),
+        Bound(
+            f'{start}/others-all',
+            _FLOOD_CHANGE,
+            flood.others_all / max(1, usual.others_all),
+        ),
+    ]
+
+
+def _known_red() -> frozenset[str]:
+    if not _KNOWN_RED.exists():
+        return frozenset()
+    text = _KNOWN_RED.read_text(encoding='utf-8')
+    return frozenset(
+        line.removeprefix(_BOUND_KEY).strip()
+        for line in text.splitlines()
+        if line.startswith(_BOUND_KEY)
+    )
+
+
+def _verdict(bounds: Sequence[Bound]) -> int:
+    """Print every bound that fails; return how many are not known."""
+    red = _known_red()
+    surprises = 0
+    failing = [bound for bound in bounds if not bound.holds]
+    for bound in failing:
+        word = 'known red' if bound.name in red else 'failed'
+        surprises += bound.name not in red
+        sys.stdout.write(
+            f'{word}: {bound.name}: measured {bound.figure:.3f}, '
+            f'bound {bound.limit}\n'
+        )
+    held = len(bounds) - len(failing)
+    sys.stdout.write(f'{held} of {len(bounds)} bounds hold\n')
+    return surprises
+
+
+def _plot(lines: Sequence[Line], path: Path) -> None:
+    """Draw the p95 first token by bucket at the usual load."""
+    from matplotlib import pyplot  # noqa: PLC0415 - a development extra.
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(11, 4), sharey=True)
+    names = sorted({each.deployment for each in lines})
+    for place, deployment in zip(axes, names, strict=False):
+        for line in lines:
+            if (line.deployment, line.scenario) != (deployment, _USUAL):
+                continue
+            place.plot(
+                [first.bucket for first in line.measures.first_tokens],
+                [first.p95 for first in line.measures.first_tokens],
+                marker='o',
+                label=line.policy,
+            )
+        place.set_title(f'{deployment}, 80 %')
+        place.set_yscale('log')
+        place.set_ylabel('first token p95, ms')
+        place.legend()
+    figure.savefig(path)
 
 
 def main() -> int:
     """Run every scenario and return 0 when every bound holds."""
-    return 0
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--json', action='store_true', help='print JSON')
+    parser.add_argument('--plot', type=Path, help='draw a chart to this file')
+    parser.add_argument('--only', default='', help='scenarios named so')
+    parser.add_argument(
+        '--every-baseline',
+        action='store_true',
+        help='run the baselines on the failures too',
+    )
+    options = parser.parse_args()
+    lines = list(_chosen_lines(options))
+    if options.json:
+        plain = [_plain(each) for each in lines]
+        sys.stdout.write(f'{json.dumps(plain, indent=1)}\n')
+    if options.plot:
+        _plot(lines, options.plot)
+    return 1 if _verdict(_bounds(lines)) else 0
+
+
+def _chosen_lines(options: argparse.Namespace) -> Iterator[Line]:
+    """Replay the scenarios that the options name, and print each line."""
+    for scenario in scenarios():
+        if options.only not in f'{scenario.deployment.name}/{scenario.name}':
+            continue
+        is_compared = scenario.name.startswith(_STEADY)
+        for line in _lines(scenario, is_compared or options.every_baseline):
+            if not options.json:
+                sys.stdout.write(f'{_text(line)}\n')
+                sys.stdout.flush()
+            yield line
+
+
+def _lines(scenario: Scenario, is_compared: bool) -> Iterator[Line]:
+    yield _line(scenario, _OURS)
+    if is_compared:
+        for name in _BASELINES:
+            yield _line(scenario, name)
+
+
+def _plain(line: Line) -> dict[str, object]:
+    """Return a line as JSON takes it."""
+    measures = line.measures._asdict()
+    measures['first_tokens'] = [
+        first._asdict() for first in line.measures.first_tokens
+    ]
+    return {**line._asdict(), 'measures': measures}
 
 
 if __name__ == '__main__':
--- a/verbenathread/replay/engine.py
+++ b/verbenathread/replay/engine.py
@@ -34,6 +34,12 @@
     # Prefill over a group costs this much more than on one engine.
     group_overhead: float = 1.25
 
+    def slower(self) -> 'EngineRates':
+        """Return an engine with half the prefill rate and memory."""
+        return self._replace(
+            memory_tokens=self.memory_tokens // 2, prefill=self.prefill / 2
+        )
+
     def work(self, tokens: int) -> float:
         """Return the prefill of a prompt in short-prompt tokens."""
         return tokens + tokens * tokens / (2 * self.attention_tokens)
--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -20,6 +20,7 @@
 from verbenathread.scheduling.admission import Admission, memory_needed
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
+from verbenathread.scheduling.ledger import GROUP_LEASE
 from verbenathread.scheduling.messages import Ask, Queued
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.scheduling.retries import Retry, RetryPolicy
@@ -115,7 +116,10 @@
         gone = Refusal(RefusalReason.NO_UPSTREAM, 'The owner is gone.', 1000)
         for pending in tuple(self._pending_by_request.values()):
             waits_at = pending.waits_at
-            if waits_at is not None and waits_at in upstream_ids:
+            if waits_at is None:
+                continue
+            if not {waits_at, *pending.upstream_ids()}.isdisjoint(upstream_ids):
+                self._grants.give_back(waits_at, pending.attempt_id)
                 self.answered(waits_at, pending.attempt_id, gone)
 
     def prefilled(self, attempt_id: str) -> None:
@@ -225,6 +229,7 @@
             self.entry_id,
             pending.candidates[:size],
             memory_needed(work),
+            admitted=pending.is_admitted,
         )
         pending.claim = claim
         self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
@@ -242,8 +247,12 @@
         is_current = pending.claim is claim and pending.run is None
         if not is_current or self._current(pending.attempt_id) is None:
             return
-        for held in pending.held:
+        start_by = self._place.now() + GROUP_LEASE
+        for held in claim.held():
+            # The owner counts from when it hears this, so no earlier.
+            claim.renewed(held.reservation_id, start_by)
             self._grants.tell(held, renewal(held))
+        pending.held = claim.held()
         self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
 
     def _send(
--- a/verbenathread/replay/gossip.py
+++ b/verbenathread/replay/gossip.py
@@ -60,8 +60,8 @@
     def _cache_event(self, upstream_id: UpstreamId) -> CacheEvent:
         """Return what changed; every so often all that is cached."""
         self._number += 1
-        cached = frozenset(self._fleet.engine_by_id[upstream_id].cache.hashes())
-        return CacheEvent(self._number, tuple(cached), (), is_snapshot=True)
+        cached = self._fleet.cached(upstream_id)
+        return CacheEvent(self._number, cached, (), is_snapshot=True)
 
     def _deliver(
         self,
--- a/verbenathread/replay/replay.py
+++ b/verbenathread/replay/replay.py
@@ -33,8 +33,10 @@
 # After the last time limit: cancels are confirmed and leases run out.
 _SETTLE: Millis = 10000
 _MS = 1000
-# Long prompts at once, where a replay sets no limit.
-_NO_LIMIT = 10000
+# Least rates a second that an account may have.
+_LEAST_REQUESTS = 5
+_LEAST_TOKENS = 100000
+_LONG_PROMPTS = 32
 
 
 def default_policy() -> settings_pb2.PolicySettings:
@@ -156,9 +158,13 @@
         tokens_by_account[name] = tokens_by_account.get(name, 0) + tokens
     return {
         name: settings_pb2.AccountSettings(
-            requests_per_second=count * _MS / duration * times,
-            tokens_per_second=tokens_by_account[name] * _MS / duration * times,
-            long_prompts=_NO_LIMIT,
+            requests_per_second=max(
+                _LEAST_REQUESTS, count * _MS / duration * times
+            ),
+            tokens_per_second=max(
+                _LEAST_TOKENS, tokens_by_account[name] * _MS / duration * times
+            ),
+            long_prompts=_LONG_PROMPTS,
             weight=1,
         )
         for name, count in count_by_account.items()
--- /dev/null
+++ b/verbenathread/replay/scenarios.py
@@ -0,0 +1,129 @@
+"""The scenarios that the bounds are checked on."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from verbenathread.replay.deployment import (
+    FBIS,
+    NO_FAULTS,
+    TILLERY,
+    Deployment,
+    Faults,
+)
+from verbenathread.replay.generator import (
+    MIX_BY_DEPLOYMENT,
+    Generator,
+    Shape,
+)
+from verbenathread.replay.measures import SHORT_EDGE
+from verbenathread.replay.policies import Policy
+from verbenathread.replay.replay import Replay, limits_for
+from verbenathread.replay.results import ReplayResult
+from verbenathread.replay.trace import TraceRequest
+from verbenathread.schema import settings_pb2
+from verbenathread.types import Millis
+
+_DURATION: Millis = 150000
+# Near capacity the queues take longer to build up.
+_LONG_DURATION: Millis = 300000
+_SEED = 7
+_USUAL = 0.8
+_HIGH = 0.95
+# Each account may send this many times its mean rate in the steady trace.
+_LIMIT_TIMES = 3
+_HALF: Millis = _DURATION // 2
+_REPORT_GAP: Millis = 10000
+_SECOND_DEATH: Millis = 5000
+_BURST_TIME: Millis = 15000
+_FLOOD_TIME: Millis = 45000
+
+
+class Scenario(NamedTuple):
+    """A deployment, its traffic, and what fails."""
+
+    deployment: Deployment
+    name: str
+    shape: Shape
+    faults: Faults = NO_FAULTS
+
+    def trace(self) -> list[TraceRequest]:
+        """Return the requests."""
+        return self._requests(self.shape)
+
+    def limits(self) -> Mapping[str, settings_pb2.AccountSettings]:
+        """Return the accounts' limits, set from the steady traffic."""
+        steady = Shape(self.shape.load, self.shape.duration, self.shape.seed)
+        return limits_for(self._requests(steady), _LIMIT_TIMES)
+
+    def run(self, policy: Policy) -> ReplayResult:
+        """Replay the scenario under a policy."""
+        replay = Replay(self.deployment, policy, self.limits())
+        return replay.run(self.trace(), self.faults)
+
+    def run_short_alone(self, policy: Policy) -> ReplayResult:
+        """Replay the short requests of the scenario, without the others."""
+        alone = [
+            request
+            for request in self.trace()
+            if request.prompt_tokens <= SHORT_EDGE
+        ]
+        return Replay(self.deployment, policy, self.limits()).run(alone)
+
+    def _requests(self, shape: Shape) -> list[TraceRequest]:
+        mix = MIX_BY_DEPLOYMENT[self.deployment.name]
+        return Generator(self.deployment, mix, shape).requests()
+
+
+def steady(deployment: Deployment, name: str, load: float) -> Scenario:
+    """Return steady traffic at a share of the capacity."""
+    duration = _DURATION if load < _HIGH else _LONG_DURATION
+    return Scenario(deployment, name, Shape(load, duration, _SEED))
+
+
+_LOAD_BY_NAME = (
+    ('load-50', 0.5),
+    ('load-80', 0.8),
+    ('load-95', 0.95),
+    ('load-120', 1.2),
+)
+_USUAL_SHAPE = Shape(_USUAL, _DURATION, _SEED)
+_ENGINE_DEATH = Faults(engine_deaths=((3, _HALF),))
+_ENTRY_DEATH = Faults(entry_deaths=((2, _HALF),))
+_REPORTS_MISSING = Faults(reports_missing=(_HALF, _HALF + _REPORT_GAP))
+_TOGETHER = Faults(
+    engine_deaths=((3, _HALF), (7, _HALF + _SECOND_DEATH)),
+    entry_deaths=((2, _HALF + 1000),),
+    reports_missing=(_HALF, _HALF + _REPORT_GAP),
+)
+_BURST = (_HALF, _HALF + _BURST_TIME, 6)
+_FLOOD = (_HALF, _HALF + _FLOOD_TIME, 12)
+
+
+def scenarios() -> list[Scenario]:
+    """Return every scenario, in the order of the report."""
+    every = []
+    for deployment in (TILLERY, FBIS):
+        for name, load in _LOAD_BY_NAME:
+            every.append(steady(deployment, name, load))
+        every.extend(_failures(deployment))
+        slow = deployment._replace(rates=deployment.rates.slower())
+        every.append(steady(slow, 'slow-80', _USUAL))
+    return every
+
+
+def _failures(deployment: Deployment) -> list[Scenario]:
+    shape = _USUAL_SHAPE
+    return [
+        Scenario(deployment, 'engine-dies', shape, _ENGINE_DEATH),
+        Scenario(deployment, 'entry-dies', shape, _ENTRY_DEATH),
+        Scenario(deployment, 'reports-missing', shape, _REPORTS_MISSING),
+        Scenario(deployment, 'long-burst', shape._replace(long_burst=_BURST)),
+        Scenario(deployment, 'flood', shape._replace(flood=_FLOOD)),
+        Scenario(deployment, 'lengths-shift', shape._replace(shift_at=_HALF)),
+        Scenario(
+            deployment,
+            'together-95',
+            Shape(_HIGH, _DURATION, _SEED),
+            _TOGETHER,
+        ),
+    ]
--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -29,7 +29,7 @@
         """Return expected ms until the engine begins the prompt."""
         prefill: float = 0
         for hold in self._holds:
-            if hold.length <= waiting.length:
+            if hold.level <= waiting.level:
                 prefill += hold.prefill_left(self._now)
         missing = waiting.ask.memory_tokens + headroom - self._holds.free
         own_rank = self._queue.rank(waiting, self._now)
@@ -39,19 +39,19 @@
             prefill += other.prefill
             missing += other.ask.memory_tokens
         memory = wait_for_memory(self._holds, missing, self._now)
-        return max(self._slowed(prefill, waiting.length), memory)
+        return max(self._slowed(prefill, waiting.level), memory)
 
     def service(self, waiting: Waiting) -> float:
         """Return expected ms of prefill beside more urgent classes."""
-        return self._slowed(waiting.prefill, waiting.length)
+        return self._slowed(waiting.prefill, waiting.level)
 
     def drain(self) -> Millis:
         """Return expected ms until the queue is half as long."""
         queued = sum(waiting.prefill for waiting in self._queue)
         return int(queued / 2)
 
-    def _slowed(self, prefill: float, length: LengthClass) -> float:
-        return prefill / (1 - self._use.share_above(length, self._now))
+    def _slowed(self, prefill: float, level: int) -> float:
+        return prefill / (1 - self._use.share_above(level, self._now))
 
 
 class Gate:
--- a/verbenathread/scheduling/groups.py
+++ b/verbenathread/scheduling/groups.py
@@ -44,6 +44,8 @@
         entry_id: NodeId,
         members: Sequence[UpstreamId],
         memory_tokens: int,
+        *,
+        admitted: bool = False,
     ) -> None:
         """Plan to hold an even share of the memory on each member."""
         self.members = tuple(sorted(members))
@@ -55,7 +57,10 @@
         """Return the next engine and what to ask its owner; None if all."""
         if len(self._held) == len(self.members):
             return None
-        return self.members[len(self._held)], self._ask
+        # What holds memory already is not turned away for its deadline.
+        admitted = self._ask.admitted or bool(self._held)
+        ask = self._ask._replace(admitted=admitted)
+        return self.members[len(self._held)], ask
 
     def granted(self, reservation: Reservation) -> None:
         """Note the hold that the last ask came to."""
@@ -65,6 +70,15 @@
         """Return the holds so far: to renew, or to release on a refusal."""
         return tuple(self._held)
 
+    def renewed(self, reservation_id: str, start_by: Millis) -> None:
+        """Note that one owner has renewed its hold."""
+        self._held = [
+            held._replace(start_by=start_by)
+            if held.reservation_id == reservation_id
+            else held
+            for held in self._held
+        ]
+
     def whole(self) -> Reservation | None:
         """Return the reservation of the whole group once all is held."""
         if len(self._held) < len(self.members):
--- a/verbenathread/scheduling/holds.py
+++ b/verbenathread/scheduling/holds.py
@@ -18,6 +18,7 @@
     ask: Ask
     reservation: Reservation
     length: LengthClass
+    level: int
     # Expected ms of prefill, and of generation after it.
     prefill: float
     output: float
@@ -74,6 +75,7 @@
         ask=ask,
         reservation=reservation,
         length=waiting.length,
+        level=waiting.level,
         prefill=waiting.prefill,
         output=output,
         granted_at=now,
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -87,7 +87,9 @@
             return held.reservation
         waiting = self._queue.get(ask.attempt_id)
         if waiting is None:
-            waiting = make_waiting(ask, self.cost, self.policy, now)
+            waiting = make_waiting(
+                ask, self.cost, self.policy, self._tuning, now
+            )
             refusal = self._refusal(waiting, now)
             if refusal is not None:
                 return refusal
@@ -205,7 +207,8 @@
                 work, listed.attempt_id, listed.entry_id, listed.memory_tokens
             )
             hold = self._hold(
-                make_waiting(ask, self.cost, self.policy, now), now
+                make_waiting(ask, self.cost, self.policy, self._tuning, now),
+                now,
             )
             first_token_at = now if listed.output_tokens else None
             self._book.keep(
@@ -240,9 +243,11 @@
                 'The prompt is longer than the engine; split it.',
                 0,
             )
+        if ask.admitted:
+            return None
         outlook = self._outlook(now)
         wait = outlook.wait(waiting, self._headroom(waiting.length))
-        if len(self._queue) >= self.policy.queue_limit and not ask.admitted:
+        if len(self._queue) >= self.policy.queue_limit:
             return Refusal(
                 RefusalReason.OVERLOADED,
                 'The queue of the engine is full; retry later.',
@@ -305,12 +310,12 @@
         self._queue.remove(waiting.ask.attempt_id)
         hold = self._hold(waiting, now)
         self._book.keep(hold)
-        self._use.note(waiting.length, waiting.prefill, now)
+        self._use.note(waiting, now)
         self._granted.append(hold.reservation)
 
     def _hold(self, waiting: Waiting, now: Millis) -> Hold:
         lease = GROUP_LEASE if waiting.ask.group else START_WITHIN
-        priority = int(waiting.length) if self._tuning.priorities else 0
+        priority = waiting.level if self._tuning.priorities else 0
         output = waiting.ask.work.expected_output_tokens
         return make_hold(
             waiting,
--- a/verbenathread/scheduling/limits.py
+++ b/verbenathread/scheduling/limits.py
@@ -6,7 +6,7 @@
 between two reports is bounded by a second, local bucket; so over any window
 the entries together admit at most::
 
-    rate * (window + 2 * BURST + LOCAL_SHARE * lag)
+    rate * (window + burst + LOCAL_SHARE * (burst + lag))
 
 plus one request per entry, where ``lag`` is the age of the usage heard. An
 entry that hears nothing from the others keeps to its even share.
@@ -20,7 +20,9 @@
 from verbenathread.types import Millis, NodeId, Refusal, RefusalReason
 
 # A bucket holds the rate of this time.
-BURST: Millis = 1000
+BURST: Millis = 3000
+# The same for tokens; one long prompt takes the rate of several seconds.
+TOKEN_BURST: Millis = 10000
 # An entry alone may use this many times its even share of the rate.
 LOCAL_SHARE = 3
 # Usage older than this means that the other entries are not heard.
@@ -43,14 +45,14 @@
     def __init__(self, rate: float, now: Millis, burst: Millis) -> None:
         """Start full; ``rate`` is by second, ``burst`` in ms of the rate."""
         self.rate = rate
-        self._burst = burst
-        self._level = self._most()
+        self._most = max(1, rate * burst / MS_PER_SECOND)
+        self._level = self._most
         self._at = now
 
     def level(self, now: Millis) -> float:
         """Return what may be spent now; below zero is debt."""
         back = (now - self._at) * self.rate / MS_PER_SECOND
-        self._level = min(self._most(), self._level + back)
+        self._level = min(self._most, self._level + back)
         self._at = now
         return self._level
 
@@ -63,19 +65,18 @@
         missing = 1 - self.level(now)
         return max(0, int(missing * MS_PER_SECOND / self.rate) + 1)
 
-    def _most(self) -> float:
-        return max(1, self.rate * self._burst / MS_PER_SECOND)
-
 
 class _Limit:
     """One rate of one account as this entry sees it."""
 
-    def __init__(self, rate: float, entries: int, now: Millis) -> None:
+    def __init__(
+        self, rate: float, entries: int, burst: Millis, now: Millis
+    ) -> None:
         self.rate = rate
         self.entries = entries
-        self._fleet = Bucket(rate, now, BURST)
-        self._local = Bucket(rate * LOCAL_SHARE / entries, now, BURST)
-        self._local.rate = min(rate, self._local.rate)
+        local = min(rate, rate * LOCAL_SHARE / entries)
+        self._fleet = Bucket(rate, now, burst)
+        self._local = Bucket(local, now, burst)
 
     def wait(self, now: Millis, *, alone: bool) -> Millis:
         """Return ms until the next may go; 0 for now."""
@@ -91,7 +92,8 @@
     def spend(self, amount: float, now: Millis) -> None:
         """Count what this entry admits."""
         self._fleet.spend(amount, now)
-        self._local.spend(amount, now)
+        # Debt is paid off in the fleet's bucket, at the whole rate.
+        self._local.spend(min(amount, self._local.level(now)), now)
 
     def hear(self, amount: float, now: Millis) -> None:
         """Count what another entry admitted."""
@@ -99,24 +101,22 @@
 
 
 class _Account:
-    """One account: its limits, own usage, and that of the other entries."""
+    """One account: its limits and what this entry admitted for it."""
 
     def __init__(
         self, limits: settings_pb2.AccountSettings, entries: int, now: Millis
     ) -> None:
         self.limits = limits
         self.entries = entries
-        self.requests = _Limit(limits.requests_per_second, entries, now)
-        self.tokens = _Limit(limits.tokens_per_second, entries, now)
+        self.requests = _Limit(limits.requests_per_second, entries, BURST, now)
+        self.tokens = _Limit(
+            limits.tokens_per_second, entries, TOKEN_BURST, now
+        )
         self.own = AccountUsage('', 0, 0, 0)
-        self.heard_by_entry: dict[NodeId, AccountUsage] = {}
 
-    def long_room(self) -> bool:
-        """Tell whether one more long prompt may run."""
+    def long_room(self, others: int) -> bool:
+        """Tell whether one more long prompt may run beside the others'."""
         most = self.limits.long_prompts
-        others = sum(
-            usage.long_running for usage in self.heard_by_entry.values()
-        )
         own_most = max(1, -(-most * LOCAL_SHARE // self.entries))
         own = self.own.long_running
         return others + own < most and own < own_most
@@ -130,6 +130,7 @@
         self._entries = entries
         self._account_by_name: dict[str, _Account] = {}
         self._heard_at: Millis = now
+        self._heard_by_entry: dict[NodeId, dict[str, AccountUsage]] = {}
 
     def resize(self, entries: int) -> None:
         """Take a new number of live entries to share the limits."""
@@ -151,7 +152,7 @@
             account.requests.wait(now, alone=alone),
             account.tokens.wait(now, alone=alone),
         )
-        if is_long and not account.long_room():
+        if is_long and not account.long_room(self._others_long(name)):
             wait = max(wait, MS_PER_SECOND)
         if wait:
             return Refusal(
@@ -195,20 +196,37 @@
     ) -> None:
         """Count what another entry says that it admitted."""
         self._heard_at = now
+        heard = self._heard_by_entry.get(entry_id)
+        if heard is None:
+            # What it admitted before this entry listened is not known.
+            heard = {usage.account: usage for usage in usages}
+            self._heard_by_entry[entry_id] = heard
         for usage in usages:
+            last = heard.get(usage.account)
+            if usage == last:
+                continue
+            heard[usage.account] = usage
             account = self._account_by_name.get(usage.account)
             if account is None:
                 continue
-            last = account.heard_by_entry.get(entry_id, usage)
+            if last is None:
+                last = AccountUsage(usage.account, 0, 0, 0)
             if last.requests <= usage.requests:
                 account.requests.hear(usage.requests - last.requests, now)
                 account.tokens.hear(usage.tokens - last.tokens, now)
-            account.heard_by_entry[entry_id] = usage
 
     def forget_entry(self, entry_id: NodeId) -> None:
         """Drop the usage of an entry that is gone."""
-        for account in self._account_by_name.values():
-            account.heard_by_entry.pop(entry_id, None)
+        self._heard_by_entry.pop(entry_id, None)
+
+    def _others_long(self, name: str) -> int:
+        """Return the long prompts that the other entries run."""
+        running = 0
+        for heard in self._heard_by_entry.values():
+            usage = heard.get(name)
+            if usage is not None:
+                running += usage.long_running
+        return running
 
     def _account(
         self, name: str, limits: settings_pb2.AccountSettings, now: Millis
@@ -221,6 +239,5 @@
         account = _Account(limits, self._entries, now)
         if known is not None:
             account.own = known.own
-            account.heard_by_entry = known.heard_by_entry
         self._account_by_name[name] = account
         return account
--- a/verbenathread/scheduling/messages.py
+++ b/verbenathread/scheduling/messages.py
@@ -17,7 +17,7 @@
     weight: float = 1.0
     # All engines of the group in ascending order; empty for one engine.
     group: tuple[UpstreamId, ...] = ()
-    # The work was admitted before; a full queue does not refuse it.
+    # The work was admitted before, so the owner does its best for it.
     admitted: bool = False
 
 
--- a/verbenathread/scheduling/queueing.py
+++ b/verbenathread/scheduling/queueing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from verbenathread.scheduling.classes import length_class
+from verbenathread.scheduling.classes import length_class, size_level
 from verbenathread.scheduling.estimates import PrefillCost
 from verbenathread.scheduling.messages import Ask
 from verbenathread.scheduling.tuning import Tuning
@@ -19,6 +19,8 @@
     # Expected prefill in ms.
     prefill: float
     since: Millis
+    # Lower is more urgent, here and at the engine.
+    level: int = 0
     # Virtual finish of the account's share; smaller goes first.
     finish: float = 0
 
@@ -27,6 +29,7 @@
     ask: Ask,
     cost: PrefillCost,
     policy: settings_pb2.PolicySettings,
+    tuning: Tuning,
     now: Millis,
 ) -> Waiting:
     """Return the queue's view of an ask that arrives now."""
@@ -34,7 +37,12 @@
     if ask.group:
         prefill /= len(ask.group)
     length = length_class(ask.work.prompt_tokens, policy)
-    return Waiting(ask, length, prefill, now)
+    level = int(length)
+    if tuning.by_size:
+        level = size_level(ask.work.prompt_tokens, policy)
+    if not tuning.by_class:
+        level = 0
+    return Waiting(ask, length, prefill, now, level)
 
 
 class WaitQueue:
@@ -95,9 +103,9 @@
 
     def rank(
         self, waiting: Waiting, now: Millis
-    ) -> tuple[float, float, Millis, str]:
+    ) -> tuple[int, float, Millis, str]:
         """Return the sort key of one ask."""
-        urgency = float(waiting.length) if self._tuning.by_class else 0
+        urgency = waiting.level
         if self._tuning.ageing:
             urgency -= (now - waiting.since) // self._tuning.ageing
         return urgency, waiting.finish, waiting.since, waiting.ask.attempt_id
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -25,6 +25,8 @@
     fair_shares: bool = False
     # Keep long prompts on their own share of the engines.
     long_apart: bool = False
+    # Order within and between classes by size: one level each doubling.
+    by_size: bool = False
     # Engine priority follows the length class.
     priorities: bool = True
     # Refuse on arrival what can't finish in time.
@@ -37,4 +39,4 @@
 
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
-CURRENT = PREVIOUS
+CURRENT = PREVIOUS._replace(by_size=True)
--- a/verbenathread/scheduling/usage.py
+++ b/verbenathread/scheduling/usage.py
@@ -2,8 +2,10 @@
 
 import math
 
+from verbenathread.scheduling.classes import LEVELS
 from verbenathread.scheduling.estimates import PrefillCost
 from verbenathread.scheduling.holds import Hold
+from verbenathread.scheduling.queueing import Waiting
 from verbenathread.types import LengthClass, Millis
 
 _HALF_LIFE_MS = 20000.0
@@ -11,24 +13,24 @@
 
 
 class ClassUse:
-    """Share of the engine's prefill that each length class takes."""
+    """Use of the engine's prefill, by length class and by level."""
 
     def __init__(self) -> None:
         """Start with no use."""
         self._granted: list[float] = [0 for _ in LengthClass]
-        self._decayed: list[float] = [0 for _ in LengthClass]
+        self._decayed: list[float] = [0 for _ in range(LEVELS)]
         self._decayed_at: Millis = 0
 
-    def note(self, length: LengthClass, prefill: float, now: Millis) -> None:
+    def note(self, waiting: Waiting, now: Millis) -> None:
         """Count a grant of some ms of prefill."""
         self._decay(now)
-        self._granted[length] += prefill
-        self._decayed[length] += prefill
+        self._granted[waiting.length] += waiting.prefill
+        self._decayed[waiting.level] += waiting.prefill
 
-    def share_above(self, length: LengthClass, now: Millis) -> float:
-        """Return the share that more urgent classes take, at most 0.9."""
+    def share_above(self, level: int, now: Millis) -> float:
+        """Return the share that more urgent levels take, at most 0.9."""
         self._decay(now)
-        above = sum(self._decayed[:length])
+        above = sum(self._decayed[:level])
         return min(_MOST_USE, above * math.log(2) / _HALF_LIFE_MS)
 
     def granted_by_class(self) -> tuple[Millis, Millis, Millis]:
