--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,208 @@
+"""Run both deployments on loopback and print what happened.
+
+For Tillery and for FBIS: 3 control processes, 3 entries in 3 data centres,
+3 engine stand-ins and a booking stand-in, from the INI files of examples/.
+Short, long and over-one-engine prompts go through; a booking goes to two
+entries at once; a change of settings is seen in force on every entry.
+"""
+
+import argparse
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from concurrent import futures
+from pathlib import Path
+
+from tools import demo_control
+from tools.demo_calls import Answer, ask, book_twice, ready
+from tools.demo_deployments import DEPLOYMENTS, Deployment
+from tools.processes import Processes, running, wait_for
+
+_START_LIMIT_SECONDS = 20
+_STOP_LIMIT_SECONDS = 15
+_VM_NUMBERS = (1, 2, 3)
+_MS_PER_SECOND = 1000
+_LOG_LINES = 15
+_FEW_TOKENS = 50
+_SHORT_TOKENS = 1_000
+_MIDDLE_TOKENS = 20_000
+_LONG_TOKENS = 150_000
+_OVER_ENGINE_TOKENS = 900_000
+_SHORT_BESIDE_LONG = 8
+_ROW = '{0:8} {1:34} {2:>9} {3:>12} {4:>10}  {5:4} {6}'
+
+
+def start(deployment: Deployment, processes: Processes) -> None:
+    """Start the control group, the entries and the upstreams."""
+    for role in ('control', 'entry'):
+        for number in _VM_NUMBERS:
+            name = f'{role}-{number}'
+            settings = str(deployment.folder / f'{name}.ini')
+            processes.start(name, 'verbenathread', role, '--settings', settings)
+    for number in _VM_NUMBERS:
+        processes.start(f'engine-{number}', *deployment.engine_words(number))
+    processes.start('service-1', *deployment.service_words(1))
+    wait_for(
+        'leader of control',
+        lambda: demo_control.has_leader(deployment),
+        _START_LIMIT_SECONDS,
+    )
+    demo_control.apply_branches(deployment)
+    wait_for(
+        'entries that are ready',
+        lambda: _all_ready(deployment),
+        _START_LIMIT_SECONDS,
+    )
+    wait_for(
+        'upstreams at every entry',
+        lambda: _all_answer(deployment),
+        _START_LIMIT_SECONDS,
+    )
+
+
+def calls(deployment: Deployment) -> Iterator[Answer]:
+    """Do what the demo shows, one answer after another."""
+    yield ask(deployment, 1, 'short', _SHORT_TOKENS, stream=False)
+    for number in _VM_NUMBERS:
+        yield ask(
+            deployment,
+            number,
+            f'short, streamed, entry-{number}',
+            _SHORT_TOKENS,
+            stream=True,
+        )
+    yield ask(deployment, 2, 'middle', _MIDDLE_TOKENS, stream=True)
+    yield from _short_beside_long(deployment)
+    yield ask(
+        deployment,
+        3,
+        'longer than one engine holds',
+        _OVER_ENGINE_TOKENS,
+        stream=True,
+    )
+    yield book_twice(deployment)
+    yield demo_control.change_settings(deployment, _VM_NUMBERS)
+
+
+def run_deployment(deployment: Deployment) -> list[Answer]:
+    """Run one deployment from its start to its planned stop."""
+    answers = []
+    with tempfile.TemporaryDirectory() as folder:
+        with running(Path(folder)) as processes:
+            started = time.monotonic()
+            try:
+                start(deployment, processes)
+            except TimeoutError as error:
+                _print_logs(processes)
+                return [Answer('start', 0, 0, 0, False, str(error))]
+            answers.append(_timed('start of 10 processes', started, True, ''))
+            answers.extend(calls(deployment))
+            answers.append(_stop(processes))
+            if _count_held(answers) < len(answers):
+                _print_logs(processes)
+    return answers
+
+
+def main() -> int:
+    """Run the demo and return 0 only if all of it held."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--only', choices=[each.name for each in DEPLOYMENTS])
+    options = parser.parse_args()
+    answers: list[Answer] = []
+    heads = ('where', 'what', 'tokens', 'first token', 'whole', 'held', 'seen')
+    sys.stdout.write(f'{_ROW.format(*heads)}\n')
+    for deployment in DEPLOYMENTS:
+        if options.only not in {None, deployment.name}:
+            continue
+        found = run_deployment(deployment)
+        for answer in found:
+            sys.stdout.write(f'{_row(deployment, answer)}\n')
+        answers.extend(found)
+    held = _count_held(answers)
+    sys.stdout.write(f'demo: {held} of {len(answers)} answered\n')
+    return 0 if held == len(answers) else 1
+
+
+def _all_ready(deployment: Deployment) -> bool:
+    return all(ready(deployment.metrics(vm)) for vm in _VM_NUMBERS)
+
+
+def _all_answer(deployment: Deployment) -> bool:
+    return all(
+        ask(deployment, vm, 'first', _FEW_TOKENS, stream=False).held
+        for vm in _VM_NUMBERS
+    )
+
+
+def _count_held(answers: list[Answer]) -> int:
+    return sum(answer.held for answer in answers)
+
+
+def _short_beside_long(deployment: Deployment) -> list[Answer]:
+    with futures.ThreadPoolExecutor(_SHORT_BESIDE_LONG + 1) as pool:
+        sent = [
+            pool.submit(
+                ask,
+                deployment,
+                1,
+                'long, beside short ones',
+                _LONG_TOKENS,
+                stream=True,
+            )
+        ]
+        for count in range(_SHORT_BESIDE_LONG):
+            sent.append(
+                pool.submit(
+                    ask,
+                    deployment,
+                    count % len(_VM_NUMBERS) + 1,
+                    'short, beside a long one',
+                    _SHORT_TOKENS,
+                    stream=True,
+                )
+            )
+        return [each.result() for each in sent]
+
+
+def _stop(processes: Processes) -> Answer:
+    started = time.monotonic()
+    code_by_name = processes.stop_all(_STOP_LIMIT_SECONDS)
+    # The stand-ins are no part of the system; SIGTERM simply ends them.
+    own = {
+        name: code
+        for name, code in code_by_name.items()
+        if name.startswith(('entry', 'control'))
+    }
+    held = all(code == 0 for code in own.values())
+    seen = ', '.join(f'{name}: {code}' for name, code in own.items() if code)
+    return _timed('planned stop of 6 processes', started, held, seen)
+
+
+def _timed(what: str, started: float, held: bool, seen: str) -> Answer:
+    total = (time.monotonic() - started) * _MS_PER_SECOND
+    return Answer(what, 0, 0, total, held, seen)
+
+
+def _row(deployment: Deployment, answer: Answer) -> str:
+    first = f'{answer.first_token_ms:.0f} ms' if answer.first_token_ms else ''
+    return _ROW.format(
+        deployment.name,
+        answer.what,
+        answer.prompt_tokens or '',
+        first,
+        f'{answer.total_ms:.0f} ms',
+        'yes' if answer.held else 'NO',
+        answer.seen,
+    )
+
+
+def _print_logs(processes: Processes) -> None:
+    for name, started in processes.by_name.items():
+        lines = started.log.read_text(errors='replace').splitlines()
+        for line in lines[-_LOG_LINES:]:
+            sys.stdout.write(f'{name}: {line}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
