--- a/verbenathread/entry/fabric.py
+++ b/verbenathread/entry/fabric.py
@@ -15,16 +15,13 @@
     BlockingReservations,
     BlockingUpstreams,
 )
+from verbenathread.entry.callers_side import Ports
 from verbenathread.entry.fabric_node import FabricNode, NodeContext
+from verbenathread.entry.hold_reader import HttpHoldReader
 from verbenathread.entry.loop_thread import LoopThread
 from verbenathread.entry.peers import bound_socket
-from verbenathread.entry.ports import (
-    Claims,
-    Reservations,
-    SharedSettings,
-    Upstreams,
-)
 from verbenathread.entry.shared import SharedTree
+from verbenathread.exceptions import SettingsError
 from verbenathread.scheduling.messages import EngineHold
 from verbenathread.schema import settings_pb2
 from verbenathread.settings.node import parse_address
@@ -47,74 +44,56 @@
 
 
 class EntryFabric:
-    """The ports of one entry."""
+    """The ports of one entry; they answer once it is started."""
 
     def __init__(
         self,
         settings: settings_pb2.NodeSettings,
-        reader: BlockingHoldReader,
+        reader: BlockingHoldReader | None = None,
         clock: Clock | None = None,
     ) -> None:
         """Take the node's settings and what reads holds of engines."""
-        self._clock = clock or SystemClock()
-        self._settings = settings
+        clock = clock or SystemClock()
         # Wall time makes a number that grows with each start of this node.
-        self.incarnation = self._clock.wall()
-        self._reader = reader
-        self._shared = SharedTree()
+        incarnation = clock.wall()
+        rng = random.Random(f'{settings.node.id} {incarnation}')
+        self._settings = settings
         self._loop = LoopThread('fabric')
-        self._node: FabricNode | None = None
+        self._shared = SharedTree()
+        self._node = FabricNode(
+            NodeContext(settings, incarnation, clock, rng),
+            self._shared,
+            _ThreadedReader(reader or HttpHoldReader(clock)),
+        )
+        self.ports = Ports(
+            self._shared,
+            BlockingUpstreams(self._node.cell, self._loop),
+            BlockingReservations(self._node.reservations, self._loop, clock),
+            BlockingClaims(self._node.claims, self._loop),
+        )
 
     def start(self) -> None:
         """Listen for peers and start; returns when peers can connect."""
+        text = self._settings.entry.peer_listen
+        try:
+            listener = bound_socket(parse_address(text))
+        except OSError as error:
+            raise SettingsError(
+                f'[entry] peer_listen = {text} can not be listened on '
+                + f'({error.strerror}); end what uses it or write another port.'
+            ) from error
         self._loop.start()
-        self._loop.run(self._start(), _START_MS)
+        self._loop.run(self._node.start(listener), _START_MS)
 
     def stop(self) -> None:
         """Hand the engine leases over, tell what is due, and end."""
-        self._loop.run(self._running().stop(), _STOP_MS)
+        self._loop.run(self._node.stop(), _STOP_MS)
         self._loop.stop()
 
     def ready(self) -> bool:
         """Tell whether shared settings are in force."""
         return self._shared.revision() > 0
 
-    def shared_settings(self) -> SharedSettings:
-        """Return the shared settings in force."""
-        return self._shared
-
-    def upstreams(self) -> Upstreams:
-        """Return the upstreams that this entry knows."""
-        return BlockingUpstreams(self._running().cell, self._loop)
-
-    def reservations(self) -> Reservations:
-        """Return the way to the memory of engines."""
-        return BlockingReservations(
-            self._running().reservations, self._loop, self._clock
-        )
-
-    def claims(self) -> Claims:
-        """Return the way to claims on a quorum of control."""
-        return BlockingClaims(self._running().claims, self._loop)
-
-    async def _start(self) -> None:
-        context = NodeContext(
-            self._settings,
-            self.incarnation,
-            self._clock,
-            random.Random(f'{self._settings.node.id} {self.incarnation}'),
-        )
-        self._node = FabricNode(
-            context, self._shared, _ThreadedReader(self._reader)
-        )
-        address = parse_address(self._settings.entry.peer_listen)
-        await self._node.start(bound_socket(address))
-
-    def _running(self) -> FabricNode:
-        if self._node is None:
-            raise RuntimeError('start() must come first')
-        return self._node
-
 
 class _ThreadedReader:
     """Reads holds in a thread, so that the loop goes on."""
--- a/verbenathread/entry/peer_channels.py
+++ b/verbenathread/entry/peer_channels.py
@@ -7,7 +7,7 @@
 
 import grpclib
 from grpclib.client import Channel
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
 
 from verbenathread.clock import seconds
 from verbenathread.entry.node_access import NodeAccess
@@ -60,9 +60,13 @@
     async def end_stream(self, *, failed: bool) -> None:
         """Drop the stream, and the connection after a second failure."""
         stack = self._stack
+        stream = self._stream
         self._stack = contextlib.AsyncExitStack()
         self._stream = None
-        with contextlib.suppress(*_FAULTS):
+        with contextlib.suppress(ProtocolError, *_FAULTS):
+            if stream is not None:
+                await stream.cancel()
+        with contextlib.suppress(ProtocolError, *_FAULTS):
             await stack.aclose()
         self._failures = self._failures + 1 if failed else 0
         if self._failures >= _FAILURES_PER_CONNECTION:
--- a/verbenathread/entry/peers.py
+++ b/verbenathread/entry/peers.py
@@ -101,18 +101,23 @@
     """Listens for the other entries."""
 
     def __init__(self, service: PeerService, access: NodeAccess) -> None:
-        """Refuse callers without the key of the cluster."""
-        self._server = Server([service])
-        access.guard(self._server)
+        """Take the service and what its callers must show."""
+        self._service = service
+        self._access = access
+        self._server: Server | None = None
 
     async def start(self, listener: socket.socket) -> None:
         """Serve on a bound socket."""
+        self._server = Server([self._service])
+        self._access.guard(self._server)
         await self._server.start(sock=listener)
 
     async def stop(self) -> None:
         """Stop listening and end every call."""
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
 
 
 def bound_socket(address: Address) -> socket.socket:
--- a/verbenathread/entry/session.py
+++ b/verbenathread/entry/session.py
@@ -21,6 +21,9 @@
 _REPORT_MS = 1000
 _FIRST_BACKOFF_MS = 50
 _LONGEST_BACKOFF_MS = 2000
+# Control sends something every few seconds; after this silence another
+# process is tried.
+_SILENCE_MS = 8000
 # A control process that answers no ping for this long is given up.
 _PING_EVERY_S = 3.0
 _PING_TIMEOUT_S = 3.0
@@ -67,6 +70,8 @@
         self._report = report
         self._rng = rng
         self._due = asyncio.Event()
+        # Whether the present session brought anything.
+        self._heard = False
 
     def report_soon(self) -> None:
         """Send a report now instead of at its time."""
@@ -79,21 +84,22 @@
         while True:
             address = self._addresses[position % len(self._addresses)]
             position += 1
-            if await self._hold(address):
+            self._heard = False
+            await self._hold(address)
+            if self._heard:
                 backoff = _FIRST_BACKOFF_MS
             jitter = self._rng.uniform(0.5, 1)
             await asyncio.sleep(seconds(int(backoff * jitter)))
             backoff = min(backoff * 2, _LONGEST_BACKOFF_MS)
 
-    async def _hold(self, address: Address) -> bool:
-        """Hold one session to its end; say whether it ever brought news."""
+    async def _hold(self, address: Address) -> None:
+        """Hold one session to its end."""
         channel = control_channel(address)
         stub = control_grpc.ControlStub(channel)
-        heard = False
         try:
             async with stub.Session.open() as stream:
                 await stream.send_message(self._report())
-                heard = await self._follow(stream)
+                await self._follow(stream)
         except FAULTS as error:
             _log.info(
                 'A session with control ended.',
@@ -102,18 +108,17 @@
             )
         finally:
             channel.close()
-        return heard
 
-    async def _follow(self, stream: _SessionStream) -> bool:
-        heard = False
+    async def _follow(self, stream: _SessionStream) -> None:
         async with Background(self._send_reports(stream)):
             while True:
-                update = await stream.recv_message()
+                async with asyncio.timeout(seconds(_SILENCE_MS)):
+                    update = await stream.recv_message()
                 if update is None:
-                    return heard
-                heard = True
-                self._shared.take(update)
-                self._due.set()
+                    raise ConnectionResetError('control closed the session')
+                self._heard = True
+                if self._shared.take(update):
+                    self._due.set()
 
     async def _send_reports(self, stream: _SessionStream) -> None:
         while True:
