Ask the next owner when the first would keep a prompt waiting

Cause: load reports are 1 s old, so the first choice often waits behind prompts that the router can't see; the owner's answer is exact.

--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -18,6 +18,7 @@
 from verbenathread.replay.results import Ending, RequestResult
 from verbenathread.replay.trace import TraceRequest
 from verbenathread.scheduling.admission import Admission, memory_needed
+from verbenathread.scheduling.candidates import CandidateWalk
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
 from verbenathread.scheduling.ledger import GROUP_LEASE
@@ -49,6 +50,7 @@
     outliers: OutlierTracker
     outputs: OutputEstimator
     policy: settings_pb2.PolicySettings
+    second_ask: Millis
     limits_by_account: dict[str, settings_pb2.AccountSettings]
 
 
@@ -98,6 +100,7 @@
             return
         if isinstance(answer, Queued):
             pending.is_admitted = True
+            self._queued(pending, upstream_id, answer)
             return
         pending.waits_at = None
         if isinstance(answer, Refusal):
@@ -195,16 +198,19 @@
             self.parts.policy,
         )
         aside = self.parts.outliers.put_aside(self._place.now())
-        pending.candidates = self.parts.chooser.choose(
+        candidates = self.parts.chooser.choose(
             work, records, self._place.now(), pending.failed | aside, size
         )
         if size == 1:
+            patience = self.parts.second_ask
+            pending.walk = CandidateWalk(candidates, patience)
             self._ask_next(pending)
             return
-        self._ask_group(pending, size)
+        self._ask_group(pending, candidates, size)
 
     def _ask_next(self, pending: Pending) -> None:
-        if not pending.candidates:
+        upstream_id = pending.walk.next()
+        if upstream_id is None:
             self._nowhere(pending)
             return
         work = pending.work_left()
@@ -216,10 +222,24 @@
             self.parts.limits_by_account[work.account].weight,
             admitted=pending.is_admitted,
         )
-        self._send(pending, pending.candidates.pop(0), ask)
+        self._send(pending, upstream_id, ask)
 
-    def _ask_group(self, pending: Pending, size: int) -> None:
-        if len(pending.candidates) < size:
+    def _queued(
+        self, pending: Pending, upstream_id: UpstreamId, answer: Queued
+    ) -> None:
+        """Wait there, or ask the next one."""
+        if pending.claim is not None:
+            return
+        if pending.walk.stays(upstream_id, answer.expected_wait):
+            return
+        self._grants.give_back(upstream_id, pending.attempt_id)
+        self.parts.chooser.note_done(upstream_id, pending.work)
+        self._ask_next(pending)
+
+    def _ask_group(
+        self, pending: Pending, candidates: Sequence[UpstreamId], size: int
+    ) -> None:
+        if len(candidates) < size:
             self._nowhere(pending)
             return
         work = pending.work_left()
@@ -227,7 +247,7 @@
             work,
             pending.attempt_id,
             self.entry_id,
-            pending.candidates[:size],
+            candidates[:size],
             memory_needed(work),
             admitted=pending.is_admitted,
         )
--- a/verbenathread/replay/pending.py
+++ b/verbenathread/replay/pending.py
@@ -9,6 +9,7 @@
 from verbenathread.replay.policies import EngineChooser
 from verbenathread.replay.results import RequestResult
 from verbenathread.replay.trace import TraceRequest
+from verbenathread.scheduling.candidates import CandidateWalk
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim
 from verbenathread.scheduling.messages import Ask
@@ -63,7 +64,7 @@
         self.work = work
         self.attempts = 0
         self.failed: set[UpstreamId] = set()
-        self.candidates: list[UpstreamId] = []
+        self.walk = CandidateWalk((), 0)
         self.waits_at: UpstreamId | None = None
         self.claim: GroupClaim | None = None
         self.held: tuple[Reservation, ...] = ()
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -7,6 +7,7 @@
 from verbenathread.scheduling.classes import length_class
 from verbenathread.scheduling.messages import EngineReport
 from verbenathread.scheduling.prefixes import PrefixIndex
+from verbenathread.scheduling.roles import EngineRoles
 from verbenathread.scheduling.tuning import CURRENT, Tuning
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
@@ -26,6 +27,9 @@
 _MEMORY_WAIT: Millis = 2000
 # What one running request adds to the time of a step at the engine.
 _RUNNING_MS = 0.2
+_LONG = LengthClass.LONG
+# Least engines set apart for long prompts: the largest usual group.
+_LEAST_APART = 3
 
 
 class _Sent(NamedTuple):
@@ -69,6 +73,7 @@
         self._rng = rng
         self._tuning = tuning
         self._prefixes = prefixes
+        self._roles = EngineRoles()
         self._seen_by_id: dict[UpstreamId, _Seen] = {}
 
     def choose(
@@ -85,8 +90,12 @@
         entry; those in ``failed`` are passed over. A group needs at least
         ``least`` engines, and gets a sample of more.
         """
-        count = self.policy.candidates + len(failed) + 2 * (least - 1)
-        sample = self._sample(records, failed, count)
+        wanted = self.policy.candidates + len(failed) + 2 * (least - 1)
+        sample = [
+            record
+            for record in self._sample(work, records, wanted, least)
+            if record.upstream_id not in failed
+        ]
         scored = [
             (self._expected(work, record, now), record.upstream_id)
             for record in sample
@@ -98,6 +107,7 @@
         seen = self._seen_by_id.get(report.upstream_id, _UNSEEN)
         fresh = tuple(sent for sent in seen.sent if sent.at > now - REPORT_LAG)
         self._seen_by_id[report.upstream_id] = _Seen(report, now, fresh)
+        self._roles.note(report, now)
 
     def note_sent(
         self, upstream_id: UpstreamId, work: Work, now: Millis
@@ -124,21 +134,33 @@
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drop what is known of an engine that is gone."""
         self._seen_by_id.pop(upstream_id, None)
+        self._roles.forget(upstream_id)
 
     def _sample(
         self,
+        work: Work,
         records: Sequence[UpstreamRecord],
-        failed: Collection[UpstreamId],
         wanted: int,
+        least: int,
     ) -> list[UpstreamRecord]:
-        count = min(len(records), wanted)
-        drawn = self._rng.sample(range(len(records)), count)
+        """Draw engines from those that take prompts of this length.
+
+        The last engines take long prompts and the first ones the others;
+        a group that is larger than its part draws from all.
+        """
+        begin, end = 0, len(records)
+        if self._tuning.long_apart:
+            apart = self._roles.long_count(end, _LEAST_APART)
+            if length_class(work.prompt_tokens, self.policy) == _LONG:
+                begin = end - apart
+            else:
+                end -= apart
+        if end - begin < least or end <= begin:
+            begin, end = 0, len(records)
+        count = min(end - begin, wanted)
         self.looked_at += count
-        return [
-            records[position]
-            for position in drawn
-            if records[position].upstream_id not in failed
-        ]
+        drawn = self._rng.sample(range(begin, end), count)
+        return [records[position] for position in drawn]
 
     def _expected(
         self, work: Work, record: UpstreamRecord, now: Millis
