Run the whole path as processes: the demo of both deployments

Cause: parts merged for the first time; the callers' side and the fabric each made an incarnation of their own, so control would have taken a live owner of a claim for a replaced one. Ruled out: handing the daemon's number down (the fabric exists first).

--- a/tools/demo_calls.py
+++ b/tools/demo_calls.py
@@ -14,6 +14,9 @@
 _MS_PER_SECOND = 1000
 _CALL_LIMIT = urllib3.Timeout(connect=2, read=30)
 _OK = 200
+_CREATED = 201
+_CONFLICT = 409
+_TIME_LIMIT_MS = 300_000
 _DATA = b'data: '
 _DONE = '[DONE]'
 
@@ -56,7 +59,10 @@
         'POST',
         f'http://{deployment.entry(entry)}/v1/chat/completions',
         json=body,
-        headers={'Authorization': f'Bearer {deployment.account_key()}'},
+        headers={
+            'Authorization': f'Bearer {deployment.account_key()}',
+            'X-Time-Limit-Ms': str(_TIME_LIMIT_MS),
+        },
         preload_content=False,
     )
     if answer.status != _OK:
@@ -81,8 +87,8 @@
     # Whoever was told that it is in progress asks again and gets the answer.
     status, first = _book(deployment, 1, key)
     again, second = _book(deployment, 2, key)
-    held = status == again == _OK and first == second
-    held = held and set(statuses) <= {_OK, 409}
+    held = status == again == _CREATED and first == second
+    held = held and set(statuses) <= {_CREATED, _CONFLICT}
     return Answer(
         'booking sent to two entries',
         0,
--- a/verbenathread/entry/daemon.py
+++ b/verbenathread/entry/daemon.py
@@ -27,6 +27,8 @@
     """The entry's connections with other nodes."""
 
     ports: Ports
+    # Grows with each start of this node; control and engines see this one.
+    incarnation: int
 
     def start(self) -> None:
         """Begin to talk with the other nodes."""
@@ -69,7 +71,7 @@
         self.side = CallersSide(
             parse_address(entry.listen),
             fabric.ports,
-            Owner(settings.node.id, clock.wall()),
+            Owner(settings.node.id, fabric.incarnation),
             Limits(
                 entry.streams,
                 entry.buffered_bytes,
--- a/verbenathread/entry/fabric.py
+++ b/verbenathread/entry/fabric.py
@@ -55,13 +55,13 @@
         """Take the node's settings and what reads holds of engines."""
         clock = clock or SystemClock()
         # Wall time makes a number that grows with each start of this node.
-        incarnation = clock.wall()
-        rng = random.Random(f'{settings.node.id} {incarnation}')
+        self.incarnation = clock.wall()
+        rng = random.Random(f'{settings.node.id} {self.incarnation}')
         self._settings = settings
         self._loop = LoopThread('fabric')
         self._shared = SharedTree()
         self._node = FabricNode(
-            NodeContext(settings, incarnation, clock, rng),
+            NodeContext(settings, self.incarnation, clock, rng),
             self._shared,
             _ThreadedReader(reader or HttpHoldReader(clock)),
         )
