Serve metrics, health and readiness of a control process; end on a failed sync

Cause: the entry had a status server, control had none, and a replica that stopped by itself left its process running and silent. A port in use printed a traceback. Before: no metrics from control; traceback. After: one status server for both roles; exit 7 with the replica's own reason; exit 2 with the address to free.

--- a/verbenathread/daemons.py
+++ b/verbenathread/daemons.py
@@ -5,10 +5,10 @@
 import signal
 
 from verbenathread.command import Rendered
-from verbenathread.exceptions import SettingsError
+from verbenathread.exceptions import SettingsError, StorageError
 from verbenathread.observability import logs
 from verbenathread.schema import settings_pb2
-from verbenathread.settings.node import load_node_settings
+from verbenathread.settings.node import load_node_settings, parse_address
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -38,15 +38,33 @@
 async def _serve_control(settings: settings_pb2.NodeSettings) -> None:
     # Only this role needs the replicated log.
     from verbenathread.control.daemon import ControlDaemon
+    from verbenathread.control.status import status_server
 
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     daemon = ControlDaemon(settings)
-    await daemon.start()
-    await stopping.wait()
+    status = status_server(
+        daemon, parse_address(settings.control.metrics_listen)
+    )
+    try:
+        await daemon.start()
+        status.start()
+    except OSError as error:
+        raise SettingsError(
+            f'[control] listen or metrics_listen: {error.strerror}; end what'
+            ' uses the address or write another'
+        )
+    failed = asyncio.create_task(daemon.failed())
+    await asyncio.wait(
+        (failed, asyncio.create_task(stopping.wait())),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
     await daemon.stop()
+    status.stop()
+    if failed.done():
+        raise StorageError(failed.result())
 
 
 def _settings_for(role: str, path: str) -> settings_pb2.NodeSettings:
--- a/verbenathread/entry/daemon.py
+++ b/verbenathread/entry/daemon.py
@@ -9,10 +9,10 @@
 from verbenathread.entry.callers_side import CallersSide, Ports
 from verbenathread.entry.engine_client import Owner
 from verbenathread.entry.exchange import Limits
-from verbenathread.entry.status_server import StatusServer
 from verbenathread.exceptions import SettingsError
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.metrics import EntryMetrics
+from verbenathread.observability.status_server import StatusServer
 from verbenathread.schema import settings_pb2
 from verbenathread.settings.node import parse_address
 from verbenathread.types import Address, Millis
--- a/verbenathread/observability/metrics.py
+++ b/verbenathread/observability/metrics.py
@@ -125,15 +125,3 @@
             'Nodes that hold a session with this process.',
             registry=self.registry,
         )
-        self.changes = Counter(
-            'verbenathread_control_changes',
-            'Changes of settings, by result.',
-            ('result',),
-            registry=self.registry,
-        )
-        self.claims = Counter(
-            'verbenathread_control_claims',
-            'Claims, by the state they were answered with.',
-            ('state',),
-            registry=self.registry,
-        )
