--- /dev/null
+++ b/tools/slopes_cell.py
@@ -0,0 +1,117 @@
+"""What it costs an entry to belong to a cell, by entries and engines."""
+
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from tests.standins.serving import tell_entry
+from tools.local_cluster import (
+    ANNOUNCE_KEY,
+    MODEL,
+    LocalCluster,
+    Size,
+    local_cluster,
+)
+from tools.processes import loopback_bytes
+
+_SETTLE_SECONDS = 12
+_MEASURE_SECONDS = 10
+_RENEW_SECONDS = 2
+_CONTROL_VMS = 3
+_MS_PER_SECOND = 1000
+
+
+class CellCost(NamedTuple):
+    """What one size of cell costs while it is idle."""
+
+    entries: int
+    engines: int
+    # Processor time in ms a second, one entry and one control process.
+    entry_cpu: float
+    leader_cpu: float
+    # Resident memory in MB, one entry and one control process.
+    entry_mb: float
+    control_mb: float
+    # Bytes sent a second by one node, all nodes averaged.
+    bytes_per_second: float
+
+
+class Renewals:
+    """Announces engines that run nowhere and renews them."""
+
+    def __init__(self, cluster: LocalCluster, engines: int) -> None:
+        """Begin at once, in a thread."""
+        self._cluster = cluster
+        self._engines = engines
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def end(self) -> None:
+        """Renew no more."""
+        self._ended.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        verb = 'announce'
+        while not self._ended.wait(_RENEW_SECONDS):
+            for engine in range(self._engines):
+                self._tell(engine, verb)
+            verb = 'renew'
+
+    def _tell(self, engine: int, verb: str) -> None:
+        entry = engine % self._cluster.size.entries + 1
+        members = {
+            'upstream_id': f'engine-{engine}',
+            'incarnation': 1,
+            'service': MODEL,
+            # Nothing listens there; nothing is sent to it either.
+            'address': f'127.1.3.1:{engine + 1}',
+            'data_centre': 'dc-1',
+            'memory_tokens': 400_000,
+        }
+        address = f'{self._cluster.entry_ip(entry)}:18080'
+        tell_entry(address, verb, ANNOUNCE_KEY, members)
+
+
+def measure(entries: int, engines: int) -> CellCost:
+    """Run one size until it has settled, and measure it idle."""
+    with tempfile.TemporaryDirectory() as folder:
+        size = Size(_CONTROL_VMS, entries)
+        with local_cluster(Path(folder), size) as cluster:
+            renewals = Renewals(cluster, engines)
+            time.sleep(_SETTLE_SECONDS)
+            cost = _measure(cluster, engines)
+            renewals.end()
+    return cost
+
+
+def _measure(cluster: LocalCluster, engines: int) -> CellCost:
+    by_name = cluster.processes.by_name
+    before = {name: node.cpu_ms() for name, node in by_name.items()}
+    sent = loopback_bytes()
+    started = time.monotonic()
+    time.sleep(_MEASURE_SECONDS)
+    duration = time.monotonic() - started
+    sent = loopback_bytes() - sent
+    cpu = {
+        name: (node.cpu_ms() - before[name]) / duration
+        for name, node in by_name.items()
+    }
+    megabytes = {
+        name: node.resident_bytes() / 1e6 for name, node in by_name.items()
+    }
+    entry_names = [name for name in by_name if name.startswith('entry')]
+    control_names = [name for name in by_name if name.startswith('control')]
+    count = len(entry_names)
+    return CellCost(
+        count,
+        engines,
+        sum(cpu[name] for name in entry_names) / count,
+        max(cpu[name] for name in control_names),
+        sum(megabytes[name] for name in entry_names) / count,
+        max(megabytes[name] for name in control_names),
+        sent / duration / len(by_name),
+    )
