--- a/verbenathread/control/order_http.py
+++ b/verbenathread/control/order_http.py
@@ -129,6 +129,7 @@
         _PATH,
         body=body,
         headers={'Content-Type': 'application/json'},
+        preload_content=False,
     )
     response = connection.getresponse()
     content = response.read(_MOST_REPLY_BYTES)
--- a/verbenathread/control/orders.py
+++ b/verbenathread/control/orders.py
@@ -107,8 +107,12 @@
         return statuses
 
     async def stop(self) -> None:
-        """Wait until no order is in flight; bounded by the order timeout."""
+        """Send nothing more, and wait for what is in flight."""
         self._term = 0
+        await self.idle()
+
+    async def idle(self) -> None:
+        """Wait until no order is in flight; bounded by the order timeout."""
         if self._task_by_upstream:
             await asyncio.wait(self._task_by_upstream.values())
 
