--- a/verbenathread/commands.py
+++ b/verbenathread/commands.py
@@ -9,6 +9,7 @@
 from google.protobuf.json_format import MessageToDict
 
 from verbenathread import __version__
+from verbenathread.admin.commands import COMMANDS as OPERATOR_COMMANDS
 from verbenathread.command import Command, Rendered, argument
 from verbenathread.daemons import run_control, run_entry
 from verbenathread.exceptions import SettingsError
@@ -129,4 +130,4 @@
 
 def all_commands() -> tuple[Command, ...]:
     """Return every command of the program."""
-    return CORE_COMMANDS
+    return (*CORE_COMMANDS, *OPERATOR_COMMANDS)
