Name file and remedy in every disk error, and end waits of a stopped replica

Cause: a full disk stopped the replica with the bare words of the system, and wait_applied never ended once the replica stopped. Before: the reason was "[Errno 28] No space left on device".

--- a/tests/consensus_network.py
+++ b/tests/consensus_network.py
@@ -28,6 +28,7 @@
         # Names as of the last sync of the folder.
         self.durable: set[str] = set()
         self.failing = False
+        self.full = False
         self.before_sync: Callable[[], None] = lambda: None
         self.sync_seconds = 0.002
 
@@ -41,6 +42,8 @@
         return self.content[name]
 
     def append(self, name, content):
+        if self.full:
+            raise OSError(28, 'No space left on device')
         self.content[name] = self.content.get(name, b'') + content
 
     def overwrite(self, name, content):
--- a/tests/test_consensus_disk.py
+++ b/tests/test_consensus_disk.py
@@ -161,23 +161,29 @@
 
 
 class FailedSyncTest(GroupCase):
-    def test_replica_stops_after_a_failed_sync(self):
-        for victim in ('leader', 'follower'):
-            with self.subTest(victim=victim):
+    def test_replica_stops_after_a_failed_sync_or_write(self):
+        table = (
+            ('leader', 'failing', 'Input/output.*replace'),
+            ('follower', 'failing', 'Input/output.*replace'),
+            ('leader', 'full', 'No space left.*start this replica again'),
+            ('follower', 'full', 'No space left.*start this replica again'),
+        )
+        for victim, fault, words in table:
+            with self.subTest(victim=victim, fault=fault):
                 outcome, failure, syncs, texts = self.run_scene(
-                    partial(self.fail_sync, victim)
+                    partial(self.fail_disk, victim, fault)
                 )
                 unknown = UnknownOutcomeError if victim == 'leader' else None
                 self.assertIs(outcome, unknown)
-                self.assertRegex(failure, 'segment-.*Input/output.*replace')
+                self.assertRegex(failure, f'segment-.*{words}')
                 self.assertEqual(syncs[0], syncs[1])
                 self.assertEqual(texts[-1], 'after')
 
-    async def fail_sync(self, victim, group):
+    async def fail_disk(self, victim, fault, group):
         leader = await group.leader()
         followers = [one for one in group.replicas if one != leader]
         broken = leader if victim == 'leader' else followers[0]
-        group.files_by_id[broken].failing = True
+        setattr(group.files_by_id[broken], fault, True)
         status = group.replicas[broken].status
         outcome = await self.outcome(group.propose('during'))
         await asyncio.sleep(1)
--- a/verbenathread/consensus/applier.py
+++ b/verbenathread/consensus/applier.py
@@ -8,7 +8,6 @@
     LogEntry,
     LogSnapshot,
 )
-from verbenathread.types import Millis
 
 
 class Applier:
@@ -65,18 +64,6 @@
             state.changed.fire()
             await self._take_snapshot()
 
-    async def wait_applied(
-        self, after: int, limit: Millis | None = None
-    ) -> int:
-        """Return the applied index once it exceeds ``after``.
-
-        Returns what is applied when ``limit`` ms pass before.
-        """
-        await self._state.changed.until(
-            lambda: self.applied_index > after, limit
-        )
-        return self.applied_index
-
     def abandon(self) -> None:
         """Tell whoever waits that the outcome can't be known here."""
         for _, proposal in self._expected_by_index.values():
--- a/verbenathread/consensus/disk.py
+++ b/verbenathread/consensus/disk.py
@@ -30,7 +30,7 @@
 
     async def load(self, cluster: str, node_id: str) -> Saved:
         """Read the folder, or make a new store in an empty one."""
-        self._folder.files.lock()
+        self._folder.lock()
         names = self._folder.clean()
         snapshot = self._read_snapshot(names)
         await self._segments.read(names)
@@ -77,7 +77,7 @@
 
     def close(self) -> None:
         """Let go of the files."""
-        self._folder.files.close()
+        self._folder.close()
 
     async def _make_identity(
         self, cluster: str, node_id: str, snapshot: LogSnapshot | None
@@ -136,9 +136,9 @@
     async def _write_snapshot(self, snapshot: LogSnapshot) -> None:
         name = f'{_SNAPSHOT}{snapshot.index:016d}'
         await self._folder.write_whole(name, snapshot.SerializeToString())
-        for other in self._folder.files.names():
+        for other in self._folder.names():
             if other.startswith(_SNAPSHOT) and other < name:
-                self._folder.files.remove(other)
+                self._folder.remove(other)
 
 
 class FileStorage(RecordStorage):
--- a/verbenathread/consensus/files.py
+++ b/verbenathread/consensus/files.py
@@ -65,7 +65,9 @@
 
     def lock(self) -> None:
         """Hold an advisory lock until :meth:`close`."""
-        self._folder.mkdir(parents=True, exist_ok=True)
+        if not self._folder.exists():
+            self._folder.mkdir(parents=True)
+            _sync_folder(self._folder.parent)
         descriptor = self._open(_LOCK_NAME)
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/verbenathread/consensus/folder.py
+++ b/verbenathread/consensus/folder.py
@@ -1,5 +1,8 @@
 """A data folder in which whole files appear at once, and syncs are counted."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from verbenathread.consensus import records
 from verbenathread.consensus.files import Files
 from verbenathread.exceptions import StorageError
@@ -11,31 +14,66 @@
 )
 
 
+_Result = TypeVar('_Result')
+
+
 class Folder:
-    """Files of one replica; an error of a sync names file and remedy."""
+    """Files of one replica; any error names the file and the remedy."""
 
     def __init__(self, files: Files) -> None:
         """Use ``files``."""
-        self.files = files
+        self._files = files
         self.syncs = 0
 
+    def lock(self) -> None:
+        """Keep other processes out."""
+        self._guard('', self._files.lock)
+
+    def close(self) -> None:
+        """Let go of the files."""
+        self._files.close()
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return self._guard('', self._files.names)
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+        return self._guard(name, lambda: self._files.read(name))
+
+    def append(self, name: str, content: bytes) -> None:
+        """Add to the end of a file."""
+        self._guard(name, lambda: self._files.append(name, content))
+
+    def overwrite(self, name: str, content: bytes) -> None:
+        """Write at the start of a file."""
+        self._guard(name, lambda: self._files.overwrite(name, content))
+
+    def cut(self, name: str, length: int) -> None:
+        """Shorten a file."""
+        self._guard(name, lambda: self._files.cut(name, length))
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._guard(name, lambda: self._files.remove(name))
+
     def clean(self) -> list[str]:
         """Remove files that a crash left half made; return the others."""
         kept = []
-        for name in self.files.names():
+        for name in self.names():
             if name.endswith(TEMPORARY):
-                self.files.remove(name)
+                self.remove(name)
                 continue
             kept.append(name)
         return kept
 
     def path(self, name: str) -> str:
         """Return the path of a file for messages."""
-        return self.files.path(name)
+        return self._files.path(name)
 
     def read_whole(self, name: str) -> bytes:
         """Return the one record of a file."""
-        payload = records.unpack(self.files.read(name), 0, 0)
+        payload = records.unpack(self.read(name), 0, 0)
         if payload is None:
             raise StorageError(
                 f'{self.path(name)} is damaged at offset 0. {REPLACE}'
@@ -49,16 +87,16 @@
     async def write_file(self, name: str, content: bytes) -> None:
         """Make a file that is there whole or not at all, synced."""
         temporary = name + TEMPORARY
-        self.files.append(temporary, content)
+        self.append(temporary, content)
         await self.sync(temporary)
-        self.files.rename(temporary, name)
+        self._guard(name, lambda: self._files.rename(temporary, name))
         await self.sync_folder()
 
     async def sync(self, name: str) -> None:
         """Sync the content of a file."""
         self.syncs += 1
         try:
-            await self.files.sync(name)
+            await self._files.sync(name)
         except OSError as error:
             raise self._sync_failed(name, error) from error
 
@@ -66,10 +104,20 @@
         """Sync the names in the folder."""
         self.syncs += 1
         try:
-            await self.files.sync_folder()
+            await self._files.sync_folder()
         except OSError as error:
             raise self._sync_failed('', error) from error
 
+    def _guard(self, name: str, work: Callable[[], _Result]) -> _Result:
+        try:
+            return work()
+        except OSError as error:
+            raise StorageError(
+                f'{self.path(name)} can not be read or written: {error}. '
+                'Check the rights and the space on the disk, then start this '
+                'replica again.'
+            ) from error
+
     def _sync_failed(self, name: str, error: OSError) -> StorageError:
         return StorageError(
             f'{self.path(name)} could not be synced: {error}. Its content is '
--- a/verbenathread/consensus/replica.py
+++ b/verbenathread/consensus/replica.py
@@ -163,8 +163,15 @@
         """Return the applied index once it exceeds ``after``.
 
         With a ``limit`` in ms, returns what is applied when it passes.
+        Raises UnavailableError when the replica stops meanwhile.
         """
-        return await self._applier.wait_applied(after, limit)
+        applier = self._applier
+        await self._state.changed.until(
+            lambda: applier.applied_index > after or not self._running, limit
+        )
+        if applier.applied_index <= after:
+            self._require_running()
+        return applier.applied_index
 
     def status(self) -> ReplicaStatus:
         """Return what this replica knows; it may be stale."""
--- a/verbenathread/consensus/segments.py
+++ b/verbenathread/consensus/segments.py
@@ -93,7 +93,7 @@
             oldest = self._segments[0]
             if oldest.last_index > keep_after:
                 return
-            self._folder.files.remove(_segment_name(oldest.number))
+            self._folder.remove(_segment_name(oldest.number))
             await self._folder.sync_folder()
             self._segments.pop(0)
 
@@ -103,7 +103,7 @@
         packed = records.pack(
             record.SerializeToString(), segment.number, segment.length
         )
-        self._folder.files.append(name, packed)
+        self._folder.append(name, packed)
         await self._folder.sync(name)
         segment.length += len(packed)
         if record.entries:
@@ -116,7 +116,7 @@
 
     def _read_segment(self, number: int, synced: int, *, is_last: bool) -> None:
         name = _segment_name(number)
-        content = self._folder.files.read(name)
+        content = self._folder.read(name)
         found = records.scan(content, number)
         whole = found.valid_length
         if found.resumes_at >= 0:
@@ -131,7 +131,7 @@
             if not is_last:
                 raise self._damage(number, whole, 'a later segment follows')
             # The last append was torn by a crash; nobody was told of it.
-            self._folder.files.cut(name, whole)
+            self._folder.cut(name, whole)
         self._take(Segment(number, whole), found.payloads)
 
     def _take(self, segment: Segment, payloads: list[bytes]) -> None:
@@ -146,7 +146,7 @@
         mark = SyncedMark()
         if _MARK not in names:
             return mark
-        payload = records.unpack(self._folder.files.read(_MARK), 0, 0)
+        payload = records.unpack(self._folder.read(_MARK), 0, 0)
         if payload is not None:
             mark.ParseFromString(payload)
         return mark
@@ -156,7 +156,7 @@
         segment = self._segments[-1]
         mark = SyncedMark(segment=segment.number, length=segment.length)
         packed = records.pack(mark.SerializeToString(), 0, 0)
-        self._folder.files.overwrite(_MARK, packed)
+        self._folder.overwrite(_MARK, packed)
 
     def _damage(self, number: int, offset: int, reason: str) -> StorageError:
         path = self._folder.path(_segment_name(number))
