--- a/tests/consensus_network.py
+++ b/tests/consensus_network.py
@@ -28,6 +28,7 @@
         # Names as of the last sync of the folder.
         self.durable: set[str] = set()
         self.failing = False
+        self.full = False
         self.before_sync: Callable[[], None] = lambda: None
         self.sync_seconds = 0.002
 
@@ -41,6 +42,8 @@
         return self.content[name]
 
     def append(self, name, content):
+        if self.full:
+            raise OSError(28, 'No space left on device')
         self.content[name] = self.content.get(name, b'') + content
 
     def overwrite(self, name, content):
@@ -273,7 +276,12 @@
 
     async def propose(self, text, limit=LIMIT):
         replica = self.replicas[await self.leader()]
-        return await replica.propose(text.encode(), limit)
+        try:
+            return await replica.propose(text.encode(), limit)
+        except UnavailableError:
+            # Surely not taken, as right after a change of leader.
+            await asyncio.sleep(0.05)
+        return await self.propose(text, limit)
 
     async def propose_all(self, texts):
         """Propose one after another and return the last index."""
