Test both sides of a cut group, refusals in the audit, and gone owners

Cause: isolation, frozen leaders and silent owners had no test. Found: a client that followed the hint to a frozen leader waited 6 s there; it now leaves after 1 s, doubling, since resends are safe.

--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -1,15 +1,24 @@
 """Real control processes for tests, each started and ended by its id."""
 
+import asyncio
+import contextlib
 import socket
+import time
 from pathlib import Path
 
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
 from tests.control_commands import ROOT_KEY, ROOT_SHA
 from tools.processes import Processes, Started
 from verbenathread.admin.client import ControlClient
+from verbenathread.schema import control_pb2
+from verbenathread.schema.control_grpc import ControlStub
 from verbenathread.types import Address, Millis
 
 NODE_KEY = 'node-key'
 CLUSTER = 'proof'
+_BROKEN = (GRPCError, StreamTerminatedError, OSError)
 
 
 def free_ports(count: int) -> list[int]:
@@ -24,11 +33,13 @@
 
 
 class ControlGroup:
-    """Three control processes over one folder each."""
+    """Control processes c0, c1, ... over one folder each."""
 
-    def __init__(self, processes: Processes, *, records: int = 50) -> None:
+    def __init__(
+        self, processes: Processes, *, count: int = 3, records: int = 50
+    ) -> None:
         self.processes = processes
-        ports = free_ports(3)
+        ports = free_ports(count)
         self.address_by_name = {
             f'c{number}': Address('127.0.0.1', port)
             for number, port in enumerate(ports)
@@ -69,3 +80,57 @@
 
     def _path(self, name: str) -> Path:
         return self.processes.folder / f'{name}.ini'
+
+
+class NodeSession:
+    """A node that takes what control pushes and reports what it runs."""
+
+    def __init__(self, group: ControlGroup, node_id: str, *names: str) -> None:
+        self.node_id = node_id
+        self.revision = 0
+        self.fell = False
+        # Loop time at which each revision was first run.
+        self.time_by_revision: dict[int, float] = {}
+        self._addresses = [group.address_by_name[name] for name in names]
+
+    async def run(self) -> None:
+        """Hold a session with any of the processes, until cancelled."""
+        turn = 0
+        while True:
+            address = self._addresses[turn % len(self._addresses)]
+            turn += 1
+            channel = Channel(address.host, address.port)
+            with contextlib.suppress(GRPCError, StreamTerminatedError, OSError):
+                await self._hold(ControlStub(channel))
+            channel.close()
+            await asyncio.sleep(0.05)
+
+    def take(self, update: control_pb2.TreeUpdate) -> None:
+        """Run what an update brings, and note if it were older."""
+        if update.branches and update.revision < self.revision:
+            self.fell = True
+        if update.revision <= self.revision:
+            return
+        self.revision = update.revision
+        self.time_by_revision[update.revision] = time.monotonic()
+
+    def report(self) -> control_pb2.NodeReport:
+        """Return the heartbeat of this node."""
+        return control_pb2.NodeReport(
+            node_id=self.node_id,
+            incarnation=1,
+            role='entry',
+            data_centre='jackson-ms',
+            revision=self.revision,
+            cluster=CLUSTER,
+            node_key=NODE_KEY,
+        )
+
+    async def _hold(self, stub: ControlStub) -> None:
+        async with stub.Session.open() as stream:
+            while True:
+                await stream.send_message(self.report())
+                update = await asyncio.wait_for(stream.recv_message(), 4)
+                if update is None:
+                    return
+                self.take(update)
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -6,10 +6,73 @@
 import unittest
 from pathlib import Path
 
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
+
 from tests.control_commands import account_text
-from tests.control_processes import ControlGroup
+from tests.control_processes import (
+    CLUSTER,
+    NODE_KEY,
+    ControlGroup,
+    NodeSession,
+)
 from tools.processes import running
 from verbenathread.admin.client import BranchConflictError
+from verbenathread.schema import control_pb2
+from verbenathread.schema.control_grpc import ControlStub
+
+NAMES = ('c0', 'c1', 'c2')
+
+
+async def until(condition):
+    """Wait for ``condition``; the bound is far over any run."""
+    async with asyncio.timeout(30):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def change_in_turn(client, count, revision):
+    """Change one branch ``count`` times; return the last revision."""
+    left = count
+    while left:
+        left -= 1
+        revision = await client.change(
+            '/desk', account_text(left + 10), revision
+        )
+    return revision
+
+
+async def ask(group, request, call='Claim', node_key=NODE_KEY):
+    """Send a node's call to each process in turn until one leads."""
+    request.cluster = CLUSTER
+    request.node_key = node_key
+    turn = 0
+    while True:
+        address = group.address_by_name[NAMES[turn % 3]]
+        turn += 1
+        channel = Channel(address.host, address.port)
+        method = getattr(ControlStub(channel), call)
+        try:
+            reply = await asyncio.wait_for(method(request, timeout=4), 4)
+        except OSError:
+            reply = control_pb2.ClaimReply()
+        channel.close()
+        if reply.answer.code == control_pb2.OK:
+            return reply
+        await asyncio.sleep(0.05)
+
+
+def claim(attempt, *, node='e1', incarnation=1):
+    return control_pb2.ClaimRequest(
+        account='fbis',
+        service='booking-desk',
+        idempotency_key='burst-pipe',
+        body_sha256='b',
+        attempt_id=attempt,
+        node_id=node,
+        node_incarnation=incarnation,
+        time_limit_ms=600_000,
+    )
 
 
 class ProcessesTest(unittest.TestCase):
@@ -17,38 +80,125 @@
         with tempfile.TemporaryDirectory() as name:
             with running(Path(name)) as processes:
                 group = ControlGroup(processes, **options)
-                asyncio.run(scene(group, processes))
+                asyncio.run(scene(group, processes, group.client()))
 
     def test_change_outlives_the_leader_and_a_restart(self):
-        async def scene(group, processes):
-            client = group.client()
-            revision = await client.change('/desk', account_text(1), 0)
+        async def scene(group, processes, client):
+            first = await client.change(
+                '/desk', account_text(1), 0, operation_id='first'
+            )
             leader = (await client.status()).leader
             processes.by_name[leader].send(signal.SIGKILL)
-            resent = await client.change(
-                '/desk', account_text(2), revision, operation_id='mine'
-            )
+            second = await client.change('/desk', account_text(2), first)
+            # The answer to a resend is the first one, from another leader.
             again = await client.change(
-                '/desk', account_text(2), revision, operation_id='mine'
+                '/desk', account_text(1), 0, operation_id='first'
             )
-            self.assertEqual(again, resent)
+            self.assertEqual(again, first)
             with self.assertRaises(BranchConflictError) as caught:
-                await client.change('/desk', account_text(3), revision)
+                await client.change('/desk', account_text(3), first)
             self.assertEqual(caught.exception.current.text, account_text(2))
-            processes.by_name[leader].process.wait()
-            group.start(leader)
-            for name in group.address_by_name:
-                if name != leader:
-                    processes.by_name[name].send(signal.SIGTERM)
-                    self.assertEqual(processes.by_name[name].wait(20), 0)
-                    group.start(name)
+            last = await change_in_turn(client, 500, second)
+            for name in NAMES:
+                processes.by_name[name].send(signal.SIGKILL)
+                processes.by_name[name].process.wait()
+                group.start(name)
+            again = await client.change(
+                '/desk', account_text(1), 0, operation_id='first'
+            )
+            self.assertEqual(again, first)
             tree = await client.read_tree()
-            self.assertEqual(tree.branches[0].text, account_text(2))
-            self.assertEqual(tree.revision, resent)
+            self.assertEqual(tree.revision, last)
+            self.assertEqual(tree.branches[0].text, account_text(10))
             client.close()
 
         self.run_scene(scene)
 
+    def test_change_in_force_while_the_leader_is_killed(self):
+        async def scene(group, processes, client):
+            nodes = [
+                NodeSession(group, f'e{number}', *NAMES[number % 3 :], *NAMES)
+                for number in range(9)
+            ]
+            tasks = [asyncio.create_task(node.run()) for node in nodes]
+            revision = await client.change('/desk', account_text(1), 0)
+            await until(lambda: all(node.revision for node in nodes))
+            leader = (await client.status()).leader
+            change = asyncio.create_task(
+                client.change('/desk', account_text(2), revision)
+            )
+            processes.by_name[leader].send(signal.SIGKILL)
+            revision = await change
+            await until(
+                lambda: all(node.revision == revision for node in nodes)
+            )
+            statuses = []
+            while len(statuses) < 9:
+                # Followers tell the new leader within a second.
+                await asyncio.sleep(0.1)
+                reply = await client.status()
+                statuses = [
+                    status
+                    for status in reply.nodes
+                    if status.revision == revision
+                ]
+            self.assertFalse(any(node.fell for node in nodes))
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+            client.close()
 
-if __name__ == '__main__':
-    unittest.main()
+        self.run_scene(scene)
+
+    def test_frozen_leader_with_operators_on_both_sides(self):
+        async def scene(group, processes, client):
+            revision = await client.change('/desk', account_text(1), 0)
+            leader = (await client.status()).leader
+            others = [name for name in NAMES if name != leader]
+            processes.by_name[leader].send(signal.SIGSTOP)
+            stuck = group.client(leader, limit=60_000)
+            late = asyncio.create_task(
+                stuck.change('/desk', account_text(2), revision)
+            )
+            there = group.client(*others)
+            won = await there.change('/desk', account_text(3), revision)
+            processes.by_name[leader].send(signal.SIGCONT)
+            with self.assertRaises(BranchConflictError) as caught:
+                await late
+            self.assertEqual(caught.exception.current.revision, won)
+            tree = await stuck.read_tree()
+            self.assertEqual(tree.branches[0].text, account_text(3))
+            for one in (client, stuck, there):
+                one.close()
+
+        self.run_scene(scene)
+
+    def test_claim_outlives_leader_and_owner(self):
+        async def scene(group, processes, client):
+            held = await ask(group, claim('a'))
+            self.assertEqual(held.state, control_pb2.CLAIM_HELD)
+            with self.assertRaises(GRPCError):
+                await ask(group, claim('x'), node_key='wrong')
+            leader = (await client.status()).leader
+            processes.by_name[leader].send(signal.SIGKILL)
+            other = await ask(group, claim('b', node='e2'))
+            self.assertEqual(other.state, control_pb2.CLAIM_IN_PROGRESS)
+            restarted = await ask(group, claim('c', incarnation=2))
+            self.assertEqual(restarted.state, control_pb2.CLAIM_OUTCOME_UNKNOWN)
+            client.close()
+
+        self.run_scene(scene)
+
+    def test_planned_stop_hands_leadership_over(self):
+        async def scene(group, processes, client):
+            revision = await client.change('/desk', account_text(1), 0)
+            leader = (await client.status()).leader
+            term = (await client.status()).term
+            processes.by_name[leader].send(signal.SIGTERM)
+            await change_in_turn(client, 20, revision)
+            self.assertEqual(processes.by_name[leader].wait(20), 0)
+            # The successor stood once: nobody waited for a silence.
+            self.assertEqual((await client.status()).term, term + 1)
+            client.close()
+
+        self.run_scene(scene)
--- /dev/null
+++ b/tests/test_control_proposals.py
@@ -0,0 +1,196 @@
+"""Proposals to a group of replicas that is cut in two, on the virtual loop."""
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from tests.consensus_network import Group, in_turn
+from tests.control_commands import account_text, change, operator_text
+from tests.virtual_loop import run_virtual
+from verbenathread.clock import LoopClock, ManualClock
+from verbenathread.control.machine import ControlMachine
+from verbenathread.control.nodes import NodeTable
+from verbenathread.control.proposals import Proposals
+from verbenathread.control.sweeper import OWNER_SILENCE, ClaimSweeper
+from verbenathread.schema import control_pb2
+
+HELD = control_pb2.CLAIM_HELD
+UNKNOWN = control_pb2.CLAIM_OUTCOME_UNKNOWN
+
+
+def claim(attempt, node='e1', incarnation=1):
+    return control_pb2.ClaimRequest(
+        account='fbis',
+        service='booking-desk',
+        idempotency_key='k',
+        attempt_id=attempt,
+        node_id=node,
+        node_incarnation=incarnation,
+        time_limit_ms=3_600_000,
+        node_key='never-on-the-log',
+    )
+
+
+class ProposalsTest(unittest.TestCase):
+    def setUp(self):
+        place = 'tests.consensus_network.ListMachine'
+        self.enterContext(patch(place, ControlMachine))
+
+    def at(self, group, node_id):
+        """Return what the process of one replica proposes with."""
+        machine = group.machine_by_id[node_id]
+        clock = ManualClock(1000)
+        return Proposals(group.replicas[node_id], machine, clock)
+
+    def test_isolated_leader_with_operators_on_both_sides(self):
+        async def scene():
+            async with Group() as group:
+                old = await group.leader()
+                first = change('a', account_text(1), 0).change
+                reply = await self.at(group, old).change(first)
+                group.network.isolate(old)
+                lost = change('b', account_text(2), reply.revision).change
+                cut_off = asyncio.create_task(self.at(group, old).change(lost))
+                refused = asyncio.create_task(
+                    self.at(group, old).claim(claim('x'))
+                )
+                rest = set(group.replicas) - {old}
+                new = await group.leader(among=rest)
+                won = change('c', account_text(3), reply.revision).change
+                accepted = await self.at(group, new).change(won)
+                codes = {
+                    (await cut_off).answer.code,
+                    (await refused).answer.code,
+                }
+                # Minutes go by before the network is mended.
+                await asyncio.sleep(300)
+                group.network.heal()
+                await group.settle(accepted.revision)
+                leader = await group.leader()
+                resent = await self.at(group, leader).change(lost)
+                trees = {
+                    machine.tree.get('/desk').text
+                    for machine in group.machine_by_id.values()
+                }
+                return codes, accepted, resent, trees, group
+
+        codes, accepted, resent, trees, group = run_virtual(scene())
+        self.assertLessEqual(
+            codes,
+            {
+                control_pb2.NO_QUORUM,
+                control_pb2.UNKNOWN_OUTCOME,
+                control_pb2.NOT_LEADER,
+            },
+        )
+        self.assertEqual(accepted.answer.code, control_pb2.OK)
+        self.assertEqual(resent.answer.code, control_pb2.CONFLICT)
+        self.assertEqual(resent.current.changed_by, 'root')
+        self.assertEqual(trees, {account_text(3)})
+        for machine in group.machine_by_id.values():
+            # What the isolated side was asked ran nowhere.
+            self.assertEqual(len(machine.claims), 0)
+
+    def test_refusals_stand_in_the_audit_without_the_text(self):
+        async def scene():
+            async with Group() as group:
+                node_id = await group.leader()
+                proposals = self.at(group, node_id)
+                secret = f'{account_text(1)}password = hunter2\n'
+                await proposals.change(
+                    change('o', operator_text('mo'), 0).change
+                )
+                codes = []
+
+                async def ask(command):
+                    reply = await proposals.change(command.change)
+                    codes.append(reply.answer.code)
+
+                commands = (
+                    change('a', secret, 0, path='/x'),
+                    change('b', '', 7, path='/x'),
+                    change('c', '', 0, path='/x', operator='mo', key='no'),
+                    change('', '', 0, path='/x'),
+                    change('d', '', 0, path='/x', remove=True),
+                    # A resend of a refusal gets the same answer.
+                    change('a', secret, 0, path='/x'),
+                )
+                await in_turn(ask, commands)
+                flood = [
+                    proposals.change(
+                        change(f'f{number}', '', 0, operator='no').change
+                    )
+                    for number in range(90)
+                ]
+                await asyncio.gather(*flood)
+                machine = group.machine_by_id[node_id]
+                records = list(machine.audit.images())
+                log = b''.join(
+                    bytes(files.content[name])
+                    for files in group.files_by_id.values()
+                    for name in files.names()
+                )
+                return codes, records, log
+
+        codes, records, log = run_virtual(scene())
+        self.assertEqual(
+            codes,
+            [
+                control_pb2.INVALID,
+                control_pb2.CONFLICT,
+                control_pb2.DENIED,
+                control_pb2.INVALID,
+                control_pb2.NOT_FOUND,
+                control_pb2.INVALID,
+            ],
+        )
+        results = [record.result for record in records[:5]]
+        self.assertEqual(
+            results,
+            [
+                'accepted',
+                'invalid: /x [account tillery] password',
+                'conflict',
+                'denied',
+                'not found',
+            ],
+        )
+        self.assertLess(len(records), 30)
+        self.assertNotIn(b'hunter2', log)
+
+    def test_claim_of_a_silent_or_replaced_owner(self):
+        for name, wait, incarnation, expected in (
+            ('heard', 3 * OWNER_SILENCE, 1, control_pb2.CLAIM_IN_PROGRESS),
+            ('silent', OWNER_SILENCE + 1000, None, UNKNOWN),
+            ('not silent for long', 1000, None, control_pb2.CLAIM_IN_PROGRESS),
+            ('replaced', 1000, 2, UNKNOWN),
+        ):
+            with self.subTest(name):
+                state, log = run_virtual(self._sweep(wait, incarnation))
+                self.assertEqual(state, expected)
+                self.assertNotIn(b'never-on-the-log', log)
+
+    async def _sweep(self, wait, incarnation):
+        async with Group() as group:
+            node_id = await group.leader()
+            proposals = self.at(group, node_id)
+            machine = group.machine_by_id[node_id]
+            nodes = NodeTable(LoopClock())
+            sweeper = ClaimSweeper(machine, nodes, proposals, LoopClock())
+            held = await proposals.claim(claim('a'))
+            self.assertEqual(held.state, HELD)
+            left = wait
+            while left > 0:
+                left -= 500
+                if incarnation is not None:
+                    nodes.take_report(
+                        control_pb2.NodeReport(
+                            node_id='e1', incarnation=incarnation
+                        )
+                    )
+                await sweeper.sweep()
+                await asyncio.sleep(0.5)
+            reply = await proposals.claim(claim('b', node='e2'))
+            files = group.files_by_id[node_id]
+            log = b''.join(files.content[name] for name in files.names())
+            return reply.state, log
--- a/verbenathread/admin/client.py
+++ b/verbenathread/admin/client.py
@@ -25,7 +25,11 @@
 
 # How long a call looks for a leader that answers, in ms.
 USUAL_LIMIT: Millis = 15_000
-_CALL_LIMIT: Millis = 6000
+# A process that stands still is left for another one after this long, in ms;
+# the wait doubles, and resends are safe.
+_FIRST_WAIT: Millis = 1000
+_LONGEST_WAIT: Millis = 8000
+_MEMBER_WAIT: Millis = 35_000
 _PAUSE: Millis = 200
 _BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 _ASK_ANOTHER = frozenset(
@@ -164,7 +168,10 @@
             address=address,
             **self._credentials,
         )
-        await self._call('ChangeMember', request, control_pb2.MemberReply)
+        # Catching up takes long, and a resend would be a second change.
+        await self._call(
+            'ChangeMember', request, control_pb2.MemberReply, _MEMBER_WAIT
+        )
 
     def close(self) -> None:
         """Close every channel."""
@@ -173,12 +180,16 @@
         self._channel_by_address.clear()
 
     async def _call(
-        self, method: str, request: Any, kind: type[_Reply]
+        self,
+        method: str,
+        request: Any,
+        kind: type[_Reply],
+        first_wait: Millis = _FIRST_WAIT,
     ) -> _Reply:
         """Ask until somebody decides, at most for the limit of a call."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds(self._limit)
-        search = _Search(self._addresses)
+        search = _Search(self._addresses, first_wait)
         while loop.time() < end:
             left = int((end - loop.time()) * MS_PER_SECOND)
             reply = await self._ask(search, method, request, left)
@@ -197,7 +208,7 @@
     ) -> Any:
         """Return the reply of the next process, or None if none came."""
         address = search.next_address()
-        limit = seconds(max(1, min(left, _CALL_LIMIT)))
+        limit = seconds(max(1, min(left, search.wait())))
         call = getattr(ControlStub(self._channel(address)), method)
         try:
             return await asyncio.wait_for(call(request, timeout=limit), limit)
@@ -216,7 +227,10 @@
 class _Search:
     """Where one call goes next, and what came of it so far."""
 
-    def __init__(self, addresses: Sequence[Address]) -> None:
+    def __init__(
+        self, addresses: Sequence[Address], first_wait: Millis
+    ) -> None:
+        self._wait = first_wait
         self._addresses = list(addresses)
         self._asked = 0
         self._hint: Address | None = None
@@ -246,11 +260,16 @@
             with contextlib.suppress(SettingsError):
                 self._hint = parse_address(answer.leader)
 
+    def wait(self) -> Millis:
+        return self._wait
+
     def failed(self, address: Address, error: Exception) -> None:
         self._last = f'{address}: {error or type(error).__name__}'
         # A refused connect is the one break that surely carried nothing.
         if not isinstance(error, ConnectionRefusedError):
             self._unknown = True
+        if isinstance(error, TimeoutError):
+            self._wait = max(self._wait, min(2 * self._wait, _LONGEST_WAIT))
 
     def give_up(self) -> NoReturn:
         if self._unknown:
--- a/verbenathread/admin/options.py
+++ b/verbenathread/admin/options.py
@@ -12,7 +12,10 @@
 from verbenathread.command import Argument, Rendered, argument
 from verbenathread.exceptions import UsageError
 from verbenathread.settings.node import parse_addresses
+from verbenathread.types import Millis
 
+# How long a command looks for a leader that answers, in ms.
+CALL_LIMIT: Millis = 15_000
 _CONTROL_VARIABLE = 'VERBENATHREAD_CONTROL'
 _OPERATOR_VARIABLE = 'VERBENATHREAD_OPERATOR'
 _KEY_VARIABLE = 'VERBENATHREAD_OPERATOR_KEY'
@@ -47,7 +50,9 @@
             + _CONTROL_VARIABLE
         )
     operator = options.operator or os.environ.get(_OPERATOR_VARIABLE, 'root')
-    return ControlClient(parse_addresses(addresses), operator, _key(options))
+    return ControlClient(
+        parse_addresses(addresses), operator, _key(options), CALL_LIMIT
+    )
 
 
 def with_client(call: ClientCall) -> Callable[[argparse.Namespace], Rendered]:
