Prove over processes that a frozen leader orders nothing when it wakes

Cause: the wake of a frozen leader was tested in memory only. Found: an order sent to a follower was refused for a missing address instead of being sent on to the leader; the leadership is asked first now, and what is known of an upstream fills in address and service. A planned stop sends no further orders and lets the last answers leave.

--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -9,13 +9,14 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError
 
-from tests.control_commands import account_text
+from tests.control_commands import ROOT_SHA, account_text
 from tests.control_processes import (
     CLUSTER,
     NODE_KEY,
     ControlGroup,
     NodeSession,
 )
+from tests.standins.processes import LocalStandIn
 from tools.processes import running
 from verbenathread.admin.client import BranchConflictError
 from verbenathread.schema import control_pb2
@@ -62,6 +63,11 @@
         await asyncio.sleep(0.05)
 
 
+def service_text():
+    """Return a service whose upstreams ignore fencing numbers."""
+    return f'[service draft-desk]\nannounce_key_sha256 = {ROOT_SHA}\n'
+
+
 def claim(attempt, *, node='e1', incarnation=1):
     return control_pb2.ClaimRequest(
         account='fbis',
@@ -189,14 +195,60 @@
 
         self.run_scene(scene)
 
+    def test_frozen_leader_wakes_and_orders_nothing(self):
+        engine = LocalStandIn('engine', '--fencing', 'ignored')
+        self.addCleanup(engine.stop)
+        taken = []
+        take_order = engine.state.take_order
+
+        def record(order):
+            taken.append(order['subject'])
+            return take_order(order)
+
+        engine.state.take_order = record
+
+        async def scene(group, processes, client):
+            await client.change('/', service_text(), 0)
+            await client.order(
+                'w1',
+                'role',
+                'prefill',
+                address=str(engine.address),
+                service='draft-desk',
+            )
+            await until(lambda: taken)
+            leader = (await client.status()).leader
+            processes.by_name[leader].send(signal.SIGSTOP)
+            # The engine forgets, so that the old leader has cause to order.
+            engine.state.order['role'] = 'both'
+            there = group.client(*(name for name in NAMES if name != leader))
+            await there.order('w1', 'role', 'decode')
+            await until(lambda: 'decode' in taken)
+            taken.clear()
+            engine.state.order['role'] = 'both'
+            processes.by_name[leader].send(signal.SIGCONT)
+            await until(lambda: taken)
+            await asyncio.sleep(2)
+            self.assertEqual(set(taken), {'decode'})
+            client.close()
+            there.close()
+
+        self.run_scene(scene)
+
     def test_planned_stop_hands_leadership_over(self):
         async def scene(group, processes, client):
             revision = await client.change('/desk', account_text(1), 0)
             leader = (await client.status()).leader
             term = (await client.status()).term
+            node = NodeSession(group, 'e1', leader, *NAMES)
+            session = asyncio.create_task(node.run())
+            await until(lambda: node.revision)
             processes.by_name[leader].send(signal.SIGTERM)
-            await change_in_turn(client, 20, revision)
+            last = await change_in_turn(client, 20, revision)
             self.assertEqual(processes.by_name[leader].wait(20), 0)
+            await until(lambda: node.revision == last)
+            session.cancel()
+            await asyncio.wait((session,))
             # The successor stood once: nobody waited for a silence.
             self.assertEqual((await client.status()).term, term + 1)
             client.close()
--- a/verbenathread/control/daemon.py
+++ b/verbenathread/control/daemon.py
@@ -30,6 +30,8 @@
 _ORDER_STEP: Millis = 200
 _SWEEP_STEP: Millis = 500
 _WAKE_STEP: Millis = 1000
+# Time for the last answers to leave before connections close, in ms.
+_LAST_ANSWERS: Millis = 100
 
 _log = get_logger('control')
 
@@ -110,6 +112,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.sleep(seconds(_LAST_ANSWERS))
         self._reporter.close()
         self._transport.close()
         self._server.close()
--- a/verbenathread/control/operator_calls.py
+++ b/verbenathread/control/operator_calls.py
@@ -139,30 +139,16 @@
     async def place_order(
         self, request: control_pb2.OrderRequest
     ) -> control_pb2.OrderReply:
-        """Set what an upstream is wanted to be."""
-        address = request.address
-        service = request.service
-        known = self._nodes.upstream(request.upstream_id)
-        if known is not None:
-            address = address or known.address
-            service = service or known.service
+        """Set what an upstream is wanted to be.
+
+        Its address and service may be left out once they are known.
+        """
         try:
-            parse_address(address)
-        except SettingsError as error:
-            return control_pb2.OrderReply(answer=invalid(str(error)))
-        if not request.upstream_id:
-            return control_pb2.OrderReply(answer=invalid('name the upstream'))
-        return await self._proposals.order(
-            commands_pb2.OrderCommand(
-                operation_id=request.operation_id,
-                credential=self._credential(request),
-                upstream_id=request.upstream_id,
-                address=address,
-                service=service,
-                action=request.action,
-                subject=request.subject,
-            )
-        )
+            await self._log.barrier(CHANGE_LIMIT)
+            order = self._order(request)
+        except VerbenathreadError as error:
+            return control_pb2.OrderReply(answer=_refusal(error))
+        return await self._proposals.order(order)
 
     async def change_member(
         self, request: control_pb2.MemberRequest
@@ -196,6 +182,31 @@
         record.result = 'accepted'
         await self._record(record)
 
+    def _order(
+        self, request: control_pb2.OrderRequest
+    ) -> commands_pb2.OrderCommand:
+        if not request.upstream_id:
+            raise UsageError('name the upstream')
+        address = request.address
+        service = request.service
+        for known in (
+            self._nodes.upstream(request.upstream_id),
+            self._machine.wanted.get(request.upstream_id),
+        ):
+            if known is not None:
+                address = address or known.address
+                service = service or known.service
+        parse_address(address)
+        return commands_pb2.OrderCommand(
+            operation_id=request.operation_id,
+            credential=self._credential(request),
+            upstream_id=request.upstream_id,
+            address=address,
+            service=service,
+            action=request.action,
+            subject=request.subject,
+        )
+
     async def _record(self, record: commands_pb2.MemberCommand) -> None:
         await self._proposals.propose(
             commands_pb2.Command(member=record), CHANGE_LIMIT
--- a/verbenathread/control/orders.py
+++ b/verbenathread/control/orders.py
@@ -69,6 +69,7 @@
         self._clock = clock
         self._quiet_for = int(lease * (1 + DRIFT_SHARE)) + ORDER_TIMEOUT
         self._term = 0
+        self._stopped = False
         self._quiet_until = 0
         self._follow_by_upstream: dict[str, _Follow] = {}
         self._task_by_upstream: dict[str, asyncio.Task[None]] = {}
@@ -76,7 +77,7 @@
     def step(self) -> None:
         """Start what is due; called several times a second."""
         status = self._log.status()
-        if not status.is_leader:
+        if self._stopped or not status.is_leader:
             self._term = 0
             self._follow_by_upstream.clear()
             return
@@ -108,6 +109,7 @@
 
     async def stop(self) -> None:
         """Send nothing more, and wait for what is in flight."""
+        self._stopped = True
         self._term = 0
         await self.idle()
 
--- a/verbenathread/control/wanted.py
+++ b/verbenathread/control/wanted.py
@@ -38,6 +38,10 @@
         """Start with nothing wanted."""
         self._wanted_by_upstream: dict[str, commands_pb2.WantedImage] = {}
 
+    def get(self, upstream_id: str) -> commands_pb2.WantedImage | None:
+        """Return what one upstream is wanted to be, or None."""
+        return self._wanted_by_upstream.get(upstream_id)
+
     def full(self, upstream_id: str) -> bool:
         """Tell whether one more order for the upstream has no room."""
         wanted = self._wanted_by_upstream.get(upstream_id)
