Check a changed tree without reading unchanged branches anew

Cause: every replica checks the whole tree when it applies a change, and read every branch each time on the loop that also answers heartbeats. Ruled out: to check at the proposer alone (another change may come between), and to check the changed branch alone (names are unique over the tree). Shared: settings/tree.py keeps parsed branches by path and text, and checks a policy only where a branch writes one; what is accepted is the same. The tests of the planned stop and of the status now tell a switched-off hand over and switched-off reports apart.

--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -1,6 +1,7 @@
 """Three control processes over synced disks, killed, frozen and restarted."""
 
 import asyncio
+import contextlib
 import signal
 import tempfile
 import unittest
@@ -9,7 +10,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError
 
-from tests.control_commands import ROOT_SHA, account_text
+from tests.control_commands import ROOT_KEY, ROOT_SHA, account_text
 from tests.control_processes import (
     CLUSTER,
     NODE_KEY,
@@ -32,6 +33,25 @@
             await asyncio.sleep(0.02)
 
 
+async def nodes_at(client, revision):
+    """Return how many nodes run ``revision``, as the leader knows."""
+    reply = await client.status()
+    return sum(node.revision == revision for node in reply.nodes)
+
+
+async def leader_hint(group, name):
+    """Return whom one process takes for the leader."""
+    address = group.address_by_name[name]
+    with contextlib.closing(Channel(address.host, address.port)) as channel:
+        reply = await ControlStub(channel).Status(
+            control_pb2.StatusRequest(
+                operator_name='root', operator_key=ROOT_KEY
+            ),
+            timeout=10,
+        )
+    return reply.answer.leader
+
+
 async def change_in_turn(client, count, revision):
     """Change one branch ``count`` times; return the last revision."""
     left = count
@@ -138,16 +158,10 @@
             await until(
                 lambda: all(node.revision == revision for node in nodes)
             )
-            statuses = []
-            while len(statuses) < 9:
+            async with asyncio.timeout(20):
                 # Followers tell the new leader within a second.
-                await asyncio.sleep(0.1)
-                reply = await client.status()
-                statuses = [
-                    status
-                    for status in reply.nodes
-                    if status.revision == revision
-                ]
+                while await nodes_at(client, revision) < 9:
+                    await asyncio.sleep(0.1)
             self.assertFalse(any(node.fell for node in nodes))
             for task in tasks:
                 task.cancel()
@@ -244,8 +258,16 @@
             session = asyncio.create_task(node.run())
             await until(lambda: node.revision)
             processes.by_name[leader].send(signal.SIGTERM)
-            last = await change_in_turn(client, 20, revision)
-            self.assertEqual(processes.by_name[leader].wait(20), 0)
+            changes = asyncio.create_task(change_in_turn(client, 20, revision))
+            code = await asyncio.to_thread(processes.by_name[leader].wait, 20)
+            self.assertEqual(code, 0)
+            # Without a hand-over the others still take it for the leader.
+            other = next(name for name in NAMES if name != leader)
+            self.assertNotEqual(
+                await leader_hint(group, other),
+                str(group.address_by_name[leader]),
+            )
+            last = await changes
             await until(lambda: node.revision == last)
             session.cancel()
             await asyncio.wait((session,))
--- /dev/null
+++ b/tools/control_cost.py
@@ -0,0 +1,300 @@
+"""What a control group costs: per session, per change, per claim, in memory.
+
+Three processes on loopback with synced disks; the sessions and the client run
+in this process, whose own time is not counted. Figures only.
+"""
+
+import argparse
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from grpclib.client import Channel
+
+from tests.control_commands import Log, account_text, change
+from tests.control_processes import (
+    CLUSTER,
+    NODE_KEY,
+    ControlGroup,
+    NodeSession,
+)
+from tools.processes import Processes, loopback_bytes, running
+from verbenathread.clock import MS_PER_SECOND
+from verbenathread.schema import commands_pb2, control_pb2
+from verbenathread.schema.control_grpc import ControlStub
+from verbenathread.settings.node import parse_address
+
+_SESSIONS = (1, 3, 9, 27)
+_IDLE_SECONDS = 5
+_CHANGES = 60
+_CLAIMS = 300
+_MEMORY_CLAIMS = 10_000
+_BRANCHES = (10, 100, 570)
+_STORED_BYTES = 500
+_NODE_MS = 1000
+
+
+class Cost(NamedTuple):
+    """What one step took over all three control processes."""
+
+    cpu_ms: float
+    loopback_bytes: int
+    elapsed_ms: float
+
+
+async def measure(
+    processes: Processes, step: Callable[[], Awaitable[None]]
+) -> Cost:
+    """Run ``step`` and return what the control processes spent on it."""
+    started = time.monotonic()
+    cpu = total_cpu(processes)
+    sent = loopback_bytes()
+    await step()
+    return Cost(
+        total_cpu(processes) - cpu,
+        loopback_bytes() - sent,
+        (time.monotonic() - started) * MS_PER_SECOND,
+    )
+
+
+def total_cpu(processes: Processes) -> float:
+    """Return the processor time of all control processes in ms."""
+    return sum(one.cpu_ms() for one in processes.by_name.values())
+
+
+class Bench:
+    """One group with a number of sessions."""
+
+    def __init__(self, group: ControlGroup, processes: Processes) -> None:
+        """Measure ``group``."""
+        self.group = group
+        self.processes = processes
+        self.client = group.client()
+        self.nodes: list[NodeSession] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.delays: list[float] = []
+        self.revision = 0
+
+    def open_sessions(self, count: int) -> None:
+        """Hold ``count`` sessions, spread over the processes."""
+        names = list(self.group.address_by_name)
+        while len(self.nodes) < count:
+            turn = len(self.nodes) % len(names)
+            order = names[turn:] + names[:turn]
+            node = NodeSession(self.group, f'e{len(self.nodes)}', *order)
+            self.nodes.append(node)
+            self.tasks.append(asyncio.create_task(self._beat(node)))
+
+    async def run(self, count: int) -> None:
+        """Measure with ``count`` sessions."""
+        self.open_sessions(count)
+        await asyncio.sleep(1)
+        self.delays.clear()
+        idle = await measure(self.processes, self.idle)
+        changes = await measure(self.processes, self.change_often)
+        claims = await measure(self.processes, self.claim_often)
+        report(count, self.delays, idle, changes, claims)
+
+    async def idle(self) -> None:
+        """Do nothing for a while."""
+        await asyncio.sleep(_IDLE_SECONDS)
+
+    async def change_often(self) -> None:
+        """Change one branch again and again; wait until all run it."""
+        left = _CHANGES
+        while left:
+            left -= 1
+            started = time.monotonic()
+            self.revision = await self.client.change(
+                '/desk', account_text(left + 1), self.revision
+            )
+            while any(node.revision < self.revision for node in self.nodes):
+                await asyncio.sleep(0.001)
+            self.delays.append((time.monotonic() - started) * MS_PER_SECOND)
+
+    async def claim_often(self) -> None:
+        """Claim and settle calls at the leader, one after another."""
+        status = await self.client.status()
+        leader = next(
+            member.address
+            for member in status.members
+            if member.node_id == status.leader
+        )
+        address = parse_address(leader)
+        channel = Channel(address.host, address.port)
+        stub = ControlStub(channel)
+        left = _CLAIMS
+        while left:
+            left -= 1
+            key = f'key-{len(self.nodes)}-{left}'
+            await stub.Claim(claim_request(key, 'attempt'))
+            await stub.Settle(settle_request(key, 'attempt'))
+        channel.close()
+
+    async def _beat(self, node: NodeSession) -> None:
+        await node.run()
+
+
+def claim_request(key: str, attempt: str) -> control_pb2.ClaimRequest:
+    """Return a claim as an entry sends it."""
+    return control_pb2.ClaimRequest(
+        cluster=CLUSTER,
+        node_key=NODE_KEY,
+        account='fbis',
+        service='booking-desk',
+        idempotency_key=key,
+        body_sha256='0' * 64,
+        attempt_id=attempt,
+        node_id='e0',
+        node_incarnation=1,
+        retention_s=86_400,
+        time_limit_ms=60_000,
+    )
+
+
+def settle_request(key: str, attempt: str) -> control_pb2.SettleRequest:
+    """Return the outcome of a claim with a stored answer."""
+    return control_pb2.SettleRequest(
+        cluster=CLUSTER,
+        node_key=NODE_KEY,
+        account='fbis',
+        service='booking-desk',
+        idempotency_key=key,
+        attempt_id=attempt,
+        state=control_pb2.CLAIM_COMPLETED,
+        stored=control_pb2.StoredAnswer(status=201, body=b'x' * _STORED_BYTES),
+    )
+
+
+async def run_group(folder: Path) -> None:
+    """Measure one group with more and more sessions."""
+    with running(folder) as processes:
+        bench = Bench(ControlGroup(processes, records=1000), processes)
+        await bench.client.change('/other', '', 0)
+        counts = list(_SESSIONS)
+        while counts:
+            await bench.run(counts.pop(0))
+        resident = [one.resident_bytes() for one in processes.by_name.values()]
+        write(f'resident, largest process: {max(resident) / 2**20:.1f} MiB')
+        for task in bench.tasks:
+            task.cancel()
+        await asyncio.wait(bench.tasks)
+        bench.client.close()
+
+
+def report(
+    count: int, delays: list[float], idle: Cost, changes: Cost, claims: Cost
+) -> None:
+    """Write the figures of one number of sessions."""
+    cpu_rate = idle.cpu_ms / idle.elapsed_ms
+    byte_rate = idle.loopback_bytes / idle.elapsed_ms * MS_PER_SECOND
+    delays = sorted(delays)
+    worst = delays[int(len(delays) * 0.99)]
+    write(
+        f'{count} sessions: idle {cpu_rate:.2%} of a core and '
+        f'{byte_rate:.0f} B/s over three processes; '
+        f'change {net(changes.cpu_ms, cpu_rate, changes) / _CHANGES:.1f} ms '
+        f'cpu, {net_bytes(changes, byte_rate) / _CHANGES:.0f} B, in force '
+        f'after {statistics.median(delays):.0f} ms, p99 {worst:.0f} ms; '
+        f'claim and settle {net(claims.cpu_ms, cpu_rate, claims) / _CLAIMS:.1f}'
+        f' ms cpu, {net_bytes(claims, byte_rate) / _CLAIMS:.0f} B, '
+        f'{claims.elapsed_ms / _CLAIMS:.1f} ms'
+    )
+
+
+def net(cpu_ms: float, cpu_rate: float, cost: Cost) -> float:
+    """Return processor time in ms beyond what idling would have taken."""
+    return max(0, cpu_ms - cpu_rate * cost.elapsed_ms)
+
+
+def net_bytes(cost: Cost, byte_rate: float) -> float:
+    """Return bytes beyond what idling would have sent."""
+    idle = byte_rate * cost.elapsed_ms / MS_PER_SECOND
+    return max(0, cost.loopback_bytes - idle)
+
+
+def run_memory() -> None:
+    """Write the memory of claims and the cost of a change by branches."""
+    log = Log()
+    before = own_resident()
+    for number in range(_MEMORY_CLAIMS):
+        key = f'key-{number}'
+        claim = claim_request(key, f'attempt-{number}')
+        log.machine.apply(
+            2 * number + 1,
+            commands_pb2.Command(claim=claim).SerializeToString(),
+        )
+        settle = settle_request(key, f'attempt-{number}')
+        log.machine.apply(
+            2 * number + 2,
+            commands_pb2.Command(settle=settle).SerializeToString(),
+        )
+    grown = own_resident() - before
+    per_thousand = _MEMORY_CLAIMS / _NODE_MS
+    image = len(log.machine.snapshot())
+    write(
+        f'1,000 settled claims with {_STORED_BYTES} B answers: '
+        f'{grown / per_thousand / 1024:.0f} KiB resident, '
+        f'{image / per_thousand / 1024:.0f} KiB in a snapshot'
+    )
+    for branches in _BRANCHES:
+        change_cost(branches)
+
+
+def change_cost(branches: int) -> None:
+    """Write what applying one change costs in a tree of ``branches``."""
+    log = Log()
+    before = own_resident()
+    for number in range(branches):
+        text = account_text(1, f'a{number}')
+        log.apply(change(f'{number}', text, 0, path=f'/team{number}'))
+    grown = own_resident() - before
+    started = time.process_time()
+    count = 10
+    for number in range(count):
+        path = f'/team{number}'
+        revision = log.machine.tree.get(path).revision
+        text = account_text(2, f'a{number}')
+        log.apply(change(f'again-{number}', text, revision, path=path))
+    spent = (time.process_time() - started) * MS_PER_SECOND / count
+    started = time.process_time()
+    log.machine.snapshot()
+    snapshot = (time.process_time() - started) * MS_PER_SECOND
+    write(
+        f'{branches} branches of one account: {spent:.1f} ms cpu to apply a '
+        f'change, {snapshot:.1f} ms for a snapshot, {grown / 1024:.0f} KiB '
+        'resident with their audit'
+    )
+
+
+def own_resident() -> int:
+    """Return the resident memory of this process in bytes."""
+    pages = int(Path('/proc/self/statm').read_text().split()[1])
+    return pages * 4096
+
+
+def write(line: str) -> None:
+    """Write one line for people."""
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def main() -> int:
+    """Run both parts, or only the one in memory."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--memory', action='store_true')
+    options = parser.parse_args()
+    run_memory()
+    if not options.memory:
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(run_group(Path(folder)))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/verbenathread/settings/tree.py
+++ b/verbenathread/settings/tree.py
@@ -5,9 +5,10 @@
 Names of client accounts, services and operators are unique over the tree.
 """
 
+import functools
 import hashlib
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -30,6 +31,7 @@
 
 ROOT_PATH = '/'
 LARGEST_BRANCH_BYTES = 262_144
+_PARSED_BRANCHES = 2048
 
 _PATH_PATTERN = re.compile(r'/|(/[a-z0-9][a-z0-9-]{0,62}){1,4}')
 _NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
@@ -92,7 +94,19 @@
 
 
 def parse_branch(path: str, text: str) -> tuple[ParsedBranch, list[Problem]]:
-    """Read one branch and return every problem found in it."""
+    """Read one branch and return every problem found in it.
+
+    The branch is shared between calls and must not be changed.
+    """
+    branch, problems = _parse_branch(path, text)
+    return branch, list(problems)
+
+
+# One change leaves all other branches as they were, so they are not read anew.
+@functools.lru_cache(maxsize=_PARSED_BRANCHES)
+def _parse_branch(
+    path: str, text: str
+) -> tuple[ParsedBranch, Sequence[Problem]]:
     branch = settings_pb2.BranchSettings()
     written: Mapping[str, str] = {}
     if len(text.encode()) > LARGEST_BRANCH_BYTES:
@@ -316,7 +330,10 @@
     branch_by_path: Mapping[str, ParsedBranch],
 ) -> list[Problem]:
     problems: list[Problem] = []
-    for path in branch_by_path:
+    for path, branch in branch_by_path.items():
+        if not branch.written_policy:
+            # It takes the policy of a branch above, which is checked there.
+            continue
         try:
             policy = effective_policy(path, branch_by_path)
         except (KeyError, ValueError):
