--- /dev/null
+++ b/verbenathread/entry/fabric.py
@@ -0,0 +1,107 @@
+"""The inter-process side of one entry, for worker threads that block.
+
+``start`` brings the parts of :mod:`verbenathread.entry.fabric_node` up on an
+event loop in a thread of its own; the ports hand each call over to it.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from verbenathread.clock import Clock, SystemClock
+from verbenathread.entry.blocking_ports import (
+    BlockingClaims,
+    BlockingReservations,
+    BlockingUpstreams,
+)
+from verbenathread.entry.callers_side import Ports
+from verbenathread.entry.fabric_node import FabricNode, NodeContext
+from verbenathread.entry.hold_reader import HttpHoldReader
+from verbenathread.entry.loop_thread import LoopThread
+from verbenathread.entry.peers import bound_socket
+from verbenathread.entry.shared import SharedTree
+from verbenathread.exceptions import SettingsError
+from verbenathread.scheduling.messages import EngineHold
+from verbenathread.schema import settings_pb2
+from verbenathread.settings.node import parse_address
+from verbenathread.types import Millis, UpstreamRecord
+
+_START_MS = 5000
+_STOP_MS = 10_000
+
+
+class BlockingHoldReader(Protocol):
+    """Reads what an engine holds, in a thread that may wait."""
+
+    def holds(
+        self, record: UpstreamRecord, limit: Millis
+    ) -> Sequence[EngineHold]:
+        """Return the attempts that it holds memory for.
+
+        Raises :class:`.UnavailableError` when it can't be read in time.
+        """
+
+
+class EntryFabric:
+    """The ports of one entry; they answer once it is started."""
+
+    def __init__(
+        self,
+        settings: settings_pb2.NodeSettings,
+        reader: BlockingHoldReader | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        """Take the node's settings and what reads holds of engines."""
+        clock = clock or SystemClock()
+        # Wall time makes a number that grows with each start of this node.
+        self.incarnation = clock.wall()
+        rng = random.Random(f'{settings.node.id} {self.incarnation}')
+        self._settings = settings
+        self._loop = LoopThread('fabric')
+        self._shared = SharedTree()
+        self._node = FabricNode(
+            NodeContext(settings, self.incarnation, clock, rng),
+            self._shared,
+            _ThreadedReader(reader or HttpHoldReader(clock)),
+        )
+        self.ports = Ports(
+            self._shared,
+            BlockingUpstreams(self._node.cell, self._loop),
+            BlockingReservations(self._node.reservations, self._loop, clock),
+            BlockingClaims(self._node.claims, self._loop),
+        )
+
+    def start(self) -> None:
+        """Listen for peers and start; returns when peers can connect."""
+        text = self._settings.entry.peer_listen
+        try:
+            listener = bound_socket(parse_address(text))
+        except OSError as error:
+            raise SettingsError(
+                f'[entry] peer_listen = {text} can not be listened on '
+                + f'({error.strerror}); end what uses it or write another port.'
+            ) from error
+        self._loop.start()
+        self._loop.run(self._node.start(listener), _START_MS)
+
+    def stop(self) -> None:
+        """Hand the engine leases over, tell what is due, and end."""
+        self._loop.run(self._node.stop(), _STOP_MS)
+        self._loop.stop()
+
+    def ready(self) -> bool:
+        """Tell whether shared settings are in force."""
+        return self._shared.revision() > 0
+
+
+class _ThreadedReader:
+    """Reads holds in a thread, so that the loop goes on."""
+
+    def __init__(self, reader: BlockingHoldReader) -> None:
+        self._reader = reader
+
+    async def holds(
+        self, record: UpstreamRecord, limit: Millis
+    ) -> Sequence[EngineHold]:
+        return await asyncio.to_thread(self._reader.holds, record, limit)
