Let progress and releases travel with the messages between entries

At 17 requests a second a node's updates go out nearly one by one, and a unary call for each start, progress and release costs more than the reservation. The messages of the cell go there anyway: a release wakes them, all else takes the next one. Ruled out: a longer gathering time, since a release that waits keeps others waiting for memory.

--- a/tests/fabric_network.py
+++ b/tests/fabric_network.py
@@ -175,10 +175,6 @@
             await asyncio.sleep(NEVER_S)
         return reply
 
-    async def update_holds(self, peer_id, request, limit):
-        node = await self._reach(peer_id)
-        return peer_pb2.HoldUpdatesReply(not_owned=node.host.update(request))
-
     async def holdings(self, peer_id, request, limit):
         node = await self._reach(peer_id)
         found = node.reservations.held.at(request.upstream_id)
--- a/verbenathread/entry/engine_owners.py
+++ b/verbenathread/entry/engine_owners.py
@@ -63,14 +63,6 @@
             return reply
         return self._reservation(owner_id, upstream_id, ask, reply)
 
-    async def update_holds(
-        self, owner_id: NodeId, updates: peer_pb2.HoldUpdates, limit: Millis
-    ) -> peer_pb2.HoldUpdatesReply:
-        """Tell an owner; raises :class:`UnavailableError`."""
-        if owner_id != self._cell.identity.node_id:
-            return await self._channels.update_holds(owner_id, updates, limit)
-        return peer_pb2.HoldUpdatesReply(not_owned=self._host.update(updates))
-
     async def holdings_at(
         self, upstream_id: UpstreamId
     ) -> Sequence[peer_pb2.Holding]:
--- a/verbenathread/entry/fabric_node.py
+++ b/verbenathread/entry/fabric_node.py
@@ -72,17 +72,17 @@
             self._channels,
             clock,
             self._lease_of,
-            riders=(self._loads, self._fetch),
         )
         self.host = LedgerHost(
             self.cell, reader, shared.policy, self._holdings_at, clock
         )
         self.owners = EngineOwners(self.cell, self.host, self._channels, clock)
-        self.outbox = HoldOutbox(self.cell, self.owners)
+        self.outbox = HoldOutbox(self.host, self.cell)
         self.reservations = EngineReservations(
             self.cell, self.owners, self.outbox, shared, clock, context.rng
         )
         self._loads.connect(self.cell.table, self.reservations)
+        self.cell.carry(self._loads, self._fetch, self.outbox)
         addresses = parse_addresses(settings.entry.control)
         self.claims = ClaimsClient(addresses, settings.node, clock, context.rng)
         reports = NodeReports(settings, self.cell, shared, clock)
@@ -113,7 +113,8 @@
     async def stop(self) -> None:
         """Send what is due, hand the leases over, and end."""
         for _ in range(_FLUSH_TRIES):
-            if await self.outbox.flush():  # noqa: WPS476 - one try at a time
+            self.outbox.push()
+            if not self.outbox:
                 break
             await asyncio.sleep(  # noqa: WPS476 - one try at a time
                 seconds(_FLUSH_PAUSE_MS)
--- a/verbenathread/entry/hold_outbox.py
+++ b/verbenathread/entry/hold_outbox.py
@@ -1,32 +1,22 @@
 """Progress and releases on their way to the owners of engines.
 
 One update is kept for each reservation, the newest; it stays until the
-owner of the engine has taken it, also over a change of owner.
+owner of the engine has taken it, also over a change of owner. Updates for
+peers travel with the messages of the cell: a release at once, all else with
+the next message.
 """
 
 import asyncio
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from verbenathread.clock import seconds
-from verbenathread.exceptions import UnavailableError
+from verbenathread.entry.ledger_host import LedgerHost
 from verbenathread.membership.cell import Cell
 from verbenathread.schema import peer_pb2
-from verbenathread.types import Millis, NodeId, UpstreamId, UpstreamState
+from verbenathread.types import NodeId, UpstreamState
 
-# Updates are gathered this long before they are sent.
-_GATHER_MS = 20
-# Pause after an owner could not be reached.
-_RETRY_MS = 200
-_CALL_MS = 1000
-
-
-class OwnerCalls(Protocol):
-    """Reaches the owner of an engine, in this process or another."""
-
-    async def update_holds(
-        self, owner_id: NodeId, updates: peer_pb2.HoldUpdates, limit: Millis
-    ) -> peer_pb2.HoldUpdatesReply:
-        """Tell an owner; raises :class:`UnavailableError`."""
+# Updates without an owner to take them are looked at this often.
+_STEP_MS = 200
 
 
 class _Pending(NamedTuple):
@@ -36,15 +26,15 @@
 
 
 class HoldOutbox:
-    """Sends updates of holds, one batch an owner at a time."""
+    """Sends updates of holds; rides on the messages of the cell."""
 
-    def __init__(self, cell: Cell, calls: OwnerCalls) -> None:
-        """Start with nothing to send."""
+    def __init__(self, host: LedgerHost, cell: Cell) -> None:
+        """Start with nothing to send; ``host`` takes what is owned here."""
+        self._host = host
         self._cell = cell
-        self._calls = calls
         self._pending_by_id: dict[str, _Pending] = {}
+        self._sent_by_peer: dict[NodeId, dict[str, int]] = {}
         self._number = 0
-        self._changed = asyncio.Event()
 
     def __len__(self) -> int:
         """Return how many reservations have an update to send."""
@@ -53,58 +43,65 @@
     def put(self, update: peer_pb2.HoldUpdate) -> None:
         """Send an update soon; it includes what an earlier one told."""
         self._number += 1
-        self._pending_by_id[update.reservation_id] = _Pending(
-            update, self._number
-        )
-        self._changed.set()
-
-    async def run(self) -> None:
-        """Send whatever there is, until cancelled."""
-        while True:
-            await self._changed.wait()
-            await asyncio.sleep(seconds(_GATHER_MS))
-            self._changed.clear()
-            if not await self.flush():
-                await asyncio.sleep(seconds(_RETRY_MS))
-                self._changed.set()
-
-    async def flush(self) -> bool:
-        """Send one batch to each owner; False if something is left."""
-        batch_by_owner: dict[NodeId, list[_Pending]] = {}
-        for key, pending in tuple(self._pending_by_id.items()):
-            if self._is_gone(pending.update.upstream_id):
-                self._pending_by_id.pop(key)
-                continue
-            owner_id = self._cell.engine_leases.owner(
-                pending.update.upstream_id
-            )
-            if owner_id is not None:
-                batch_by_owner.setdefault(owner_id, []).append(pending)
-        await asyncio.gather(
-            *[
-                self._send(owner_id, batch)
-                for owner_id, batch in batch_by_owner.items()
-            ]
-        )
-        return not self._pending_by_id
-
-    async def _send(self, owner_id: NodeId, batch: list[_Pending]) -> None:
-        identity = self._cell.identity
-        message = peer_pb2.HoldUpdates(
-            node_id=identity.node_id, incarnation=identity.incarnation
-        )
-        message.updates.extend(pending.update for pending in batch)
-        try:
-            reply = await self._calls.update_holds(owner_id, message, _CALL_MS)
-        except UnavailableError:
-            return
-        for pending in batch:
-            if pending.update.upstream_id in reply.not_owned:
+        pending = _Pending(update, self._number)
+        self._pending_by_id[update.reservation_id] = pending
+        self._push(pending)
+
+    def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
+        """Put in the updates whose engines the peer owns."""
+        sent = {}
+        for key, pending in self._pending_by_id.items():
+            if self._owner(pending) == peer_id:
+                message.hold_updates.append(pending.update)
+                sent[key] = pending.number
+        self._sent_by_peer[peer_id] = sent
+
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
+        """Take the updates of a peer."""
+        for update in message.hold_updates:
+            if not self._host.update(update):
+                reply.not_owned.append(update.upstream_id)
+
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Drop what the peer has taken."""
+        not_owned = frozenset(reply.not_owned)
+        sent = self._sent_by_peer.get(peer_id, {})
+        for key, number in sent.items():
+            pending = self._pending_by_id.get(key)
+            if pending is None or pending.number != number:
                 continue
-            key = pending.update.reservation_id
-            if self._pending_by_id.get(key) == pending:
+            if pending.update.upstream_id not in not_owned:
                 self._pending_by_id.pop(key)
 
-    def _is_gone(self, upstream_id: UpstreamId) -> bool:
-        record = self._cell.table.get(upstream_id)
-        return record is None or record.state is UpstreamState.GONE
+    async def run(self) -> None:
+        """Try again what no owner has taken, until cancelled."""
+        while True:
+            self.push()
+            await asyncio.sleep(seconds(_STEP_MS))
+
+    def push(self) -> None:
+        """Try to pass on whatever there is."""
+        for pending in tuple(self._pending_by_id.values()):
+            self._push(pending)
+
+    def _push(self, pending: _Pending) -> None:
+        update = pending.update
+        owner_id = self._owner(pending)
+        record = self._cell.table.get(update.upstream_id)
+        if record is None or record.state is UpstreamState.GONE:
+            self._pending_by_id.pop(update.reservation_id)
+        elif owner_id == self._cell.identity.node_id:
+            if self._host.update(update):
+                self._pending_by_id.pop(update.reservation_id)
+        elif owner_id is not None and update.released:
+            self._cell.wake(owner_id)
+
+    def _owner(self, pending: _Pending) -> NodeId | None:
+        return self._cell.engine_leases.owner(pending.update.upstream_id)
--- a/verbenathread/entry/ledger_host.py
+++ b/verbenathread/entry/ledger_host.py
@@ -106,16 +106,13 @@
             )
         return await engine.reserve(request)
 
-    def update(self, updates: peer_pb2.HoldUpdates) -> tuple[UpstreamId, ...]:
-        """Take progress and releases; return the engines not owned here."""
-        not_owned = []
-        for update in updates.updates:
-            engine = self._engine_by_id.get(update.upstream_id)
-            if engine is None:
-                not_owned.append(update.upstream_id)
-                continue
-            engine.update(update)
-        return tuple(not_owned)
+    def update(self, update: peer_pb2.HoldUpdate) -> bool:
+        """Take progress or a release; False if the engine is not owned."""
+        engine = self.engine(update.upstream_id)
+        if engine is None:
+            return False
+        engine.update(update)
+        return True
 
     def reports(self) -> tuple[EngineReport, ...]:
         """Return the load of every engine that is owned here."""
--- a/verbenathread/entry/load_reports.py
+++ b/verbenathread/entry/load_reports.py
@@ -46,7 +46,9 @@
                 message.loads.append(self._load_by_engine[engine])
         self._sent_at_by_peer[peer_id] = now
 
-    def take(self, message: peer_pb2.PeerMessage) -> None:
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
         """Hand on what a peer reports of its engines."""
         for load in message.loads:
             record = self._table.by_hash(load.engine)
@@ -56,6 +58,14 @@
             if report is not None:
                 self._reservations.note_report(report)
 
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Need nothing of replies."""
+
     async def run(self, host: LedgerHost) -> None:
         """Look at the engines owned here, until cancelled."""
         while True:
--- a/verbenathread/entry/peer_channels.py
+++ b/verbenathread/entry/peer_channels.py
@@ -97,11 +97,6 @@
     ) -> peer_pb2.ReserveReply:
         """Ask the owner of an engine for memory; ends with the caller."""
 
-    async def update_holds(
-        self, peer_id: NodeId, request: peer_pb2.HoldUpdates, limit: Millis
-    ) -> peer_pb2.HoldUpdatesReply:
-        """Tell an owner of progress and releases."""
-
     async def holdings(
         self, peer_id: NodeId, request: peer_pb2.HoldingsRequest, limit: Millis
     ) -> peer_pb2.HoldingsReply:
@@ -161,19 +156,6 @@
             ),
         )
 
-    async def update_holds(
-        self, peer_id: NodeId, request: peer_pb2.HoldUpdates, limit: Millis
-    ) -> peer_pb2.HoldUpdatesReply:
-        """Tell an owner of progress and releases."""
-        return await self._call(
-            peer_id,
-            lambda stub: stub.UpdateHolds(
-                request,
-                timeout=seconds(limit),
-                metadata=self._access.metadata,
-            ),
-        )
-
     async def holdings(
         self, peer_id: NodeId, request: peer_pb2.HoldingsRequest, limit: Millis
     ) -> peer_pb2.HoldingsReply:
--- a/verbenathread/entry/peers.py
+++ b/verbenathread/entry/peers.py
@@ -63,17 +63,6 @@
         if request is not None:
             await stream.send_message(await self._host.reserve(request))
 
-    async def UpdateHolds(  # noqa: N802 - the name in the schema
-        self, stream: Stream[peer_pb2.HoldUpdates, peer_pb2.HoldUpdatesReply]
-    ) -> None:
-        """Take progress and releases."""
-        request = await stream.recv_message()
-        if request is not None:
-            not_owned = self._host.update(request)
-            await stream.send_message(
-                peer_pb2.HoldUpdatesReply(not_owned=not_owned)
-            )
-
     async def Holdings(  # noqa: N802 - the name in the schema
         self, stream: Stream[peer_pb2.HoldingsRequest, peer_pb2.HoldingsReply]
     ) -> None:
--- a/verbenathread/entry/tree_fetch.py
+++ b/verbenathread/entry/tree_fetch.py
@@ -31,10 +31,20 @@
         """Name the revision in force here."""
         message.revision = self._shared.revision()
 
-    def take(self, message: peer_pb2.PeerMessage) -> None:
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
         """Note the revision that a peer runs."""
         self._revision_by_peer[message.node_id] = message.revision
 
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Need nothing of replies."""
+
     async def run(self) -> None:
         """Fetch from the peer that is furthest ahead, until cancelled."""
         while True:
--- a/verbenathread/membership/cell.py
+++ b/verbenathread/membership/cell.py
@@ -72,8 +72,18 @@
     def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
         """Put what is due for a peer into a message to it."""
 
-    def take(self, message: peer_pb2.PeerMessage) -> None:
-        """Take what came with a message."""
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
+        """Take what came with a message, and put what is due in its reply."""
+
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Take the reply to a message that was sent."""
 
 
 class NodeIdentity(NamedTuple):
@@ -99,7 +109,6 @@
         lease_of: Callable[[str], Millis],
         *,
         lease: Millis = LONGEST_LEASE_MS,
-        riders: tuple[Rider, ...] = (),
     ) -> None:
         """Take what carries messages, and the upstream lease of a service."""
         self.identity = identity
@@ -111,23 +120,27 @@
             identity.cell_ids,
             acceptor,
             clock,
-            self._wake,
+            self.wake,
             node_id=identity.node_id,
             lease=lease,
         )
-        self._riders = riders
+        self._riders: tuple[Rider, ...] = ()
         self._clock = clock
         self._transport = transport
         self._upstream_leases = UpstreamLeases(
             identity.node_id, len(identity.cell_ids), self.table, lease_of
         )
-        self._gossip = Gossip(self.table, self.views.by_id, self._wake)
+        self._gossip = Gossip(self.table, self.views.by_id, self.wake)
         self._event_by_peer = {
             peer_id: asyncio.Event() for peer_id in self.views.by_id
         }
         self._questions: tuple[int, ...] = ()
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
+    def carry(self, *riders: Rider) -> None:
+        """Let these travel with the messages; call it before the start."""
+        self._riders = (*self._riders, *riders)
+
     def start(self) -> None:
         """Start one task for each peer and two for leases."""
         links = [
@@ -145,7 +158,7 @@
         self.stopping = True
         self.engine_leases.release_all()
         for peer_id in self.views.by_id:
-            self._wake(peer_id)
+            self.wake(peer_id)
         await asyncio.sleep(seconds(IDLE_MS // 2))
         await self.close()
 
@@ -200,7 +213,7 @@
             )
         self._gossip.answer(message.node_id, message, reply, now)
         for rider in self._riders:
-            rider.take(message)
+            rider.answer(message, reply)
         for upstream_hash in message.heard_asks:
             age = self._upstream_leases.age(upstream_hash, now)
             reply.heard_ages.append(0 if age is None else age + 1)
@@ -224,14 +237,15 @@
             and record.state is not UpstreamState.GONE
         )
 
+    def wake(self, peer_id: NodeId) -> None:
+        """Send a peer its next message now."""
+        self._event_by_peer[peer_id].set()
+
     def serving_ids(self) -> frozenset[NodeId]:
         """Return the living nodes that do not stop, this one included."""
         serving = self.views.serving_ids(self._clock.now())
         return serving if self.stopping else serving | {self.identity.node_id}
 
-    def _wake(self, peer_id: NodeId) -> None:
-        self._event_by_peer[peer_id].set()
-
     def _retire(self, record: UpstreamRecord, state: UpstreamState) -> None:
         if self.table.retire(record, state, self._clock.now()):
             self._gossip.spread(record.upstream_id)
@@ -295,6 +309,8 @@
             return
         view.note_clock(sent_at, reply.now_ms)
         self._gossip.absorb(peer_id, message, reply, now)
+        for rider in self._riders:
+            rider.absorb(peer_id, message, reply)
         self._upstream_leases.absorb(
             peer_id, wire.heard_from(message, reply), sent_at
         )
--- a/verbenathread/schema/peer_grpc.py
+++ b/verbenathread/schema/peer_grpc.py
@@ -23,10 +23,6 @@
     async def Reserve(self, stream: 'grpclib.server.Stream[verbenathread.schema.peer_pb2.ReserveRequest, verbenathread.schema.peer_pb2.ReserveReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def UpdateHolds(self, stream: 'grpclib.server.Stream[verbenathread.schema.peer_pb2.HoldUpdates, verbenathread.schema.peer_pb2.HoldUpdatesReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def Holdings(self, stream: 'grpclib.server.Stream[verbenathread.schema.peer_pb2.HoldingsRequest, verbenathread.schema.peer_pb2.HoldingsReply]') -> None:
         pass
@@ -49,12 +45,6 @@
                 verbenathread.schema.peer_pb2.ReserveRequest,
                 verbenathread.schema.peer_pb2.ReserveReply,
             ),
-            '/verbenathread.schema.Peer/UpdateHolds': grpclib.const.Handler(
-                self.UpdateHolds,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                verbenathread.schema.peer_pb2.HoldUpdates,
-                verbenathread.schema.peer_pb2.HoldUpdatesReply,
-            ),
             '/verbenathread.schema.Peer/Holdings': grpclib.const.Handler(
                 self.Holdings,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -85,12 +75,6 @@
             verbenathread.schema.peer_pb2.ReserveRequest,
             verbenathread.schema.peer_pb2.ReserveReply,
         )
-        self.UpdateHolds = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/verbenathread.schema.Peer/UpdateHolds',
-            verbenathread.schema.peer_pb2.HoldUpdates,
-            verbenathread.schema.peer_pb2.HoldUpdatesReply,
-        )
         self.Holdings = grpclib.client.UnaryUnaryMethod(
             channel,
             '/verbenathread.schema.Peer/Holdings',
