Protect the oldest long ask, and ask a group's owners at once

Cause: a trace at 120 % showed long prompts expected in 7 s and granted after 220 s: smaller ones kept taking the memory, and groups held one engine idle while they waited for the next. Conclusion: kept; one order of groups at every owner, holds yield at renewal.

--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -1,6 +1,6 @@
 """One entry of a replay: the real decision parts, driven in virtual time."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from verbenathread.replay.engine import Job
@@ -12,7 +12,6 @@
     begin,
     new_work,
     progress,
-    renewal,
 )
 from verbenathread.replay.policies import EngineChooser
 from verbenathread.replay.results import Ending, RequestResult
@@ -94,7 +93,7 @@
     ) -> None:
         """Take the answer of an engine's owner."""
         pending = self._current(attempt_id)
-        if pending is None or pending.waits_at != upstream_id:
+        if pending is None or upstream_id not in pending.waits_at:
             if isinstance(answer, Reservation):
                 self._grants.give_back(upstream_id, attempt_id)
             return
@@ -102,28 +101,28 @@
             pending.is_admitted = True
             self._queued(pending, upstream_id, answer)
             return
-        pending.waits_at = None
+        pending.waits_at.discard(upstream_id)
         if isinstance(answer, Refusal):
             self._turned_away(pending, upstream_id, answer)
             return
         pending.is_admitted = True
-        pending.held = (*pending.held, answer)
         if pending.claim is None:
+            pending.held = (answer,)
             self._start(pending)
             return
         pending.claim.granted(answer)
-        self._ask_member(pending, pending.claim)
+        pending.held = pending.claim.held()
+        if pending.claim.whole() is not None:
+            self._start(pending)
 
     def owner_lost(self, upstream_ids: Sequence[UpstreamId]) -> None:
         """Ask elsewhere for what waits at an owner that is gone."""
         gone = Refusal(RefusalReason.NO_UPSTREAM, 'The owner is gone.', 1000)
         for pending in tuple(self._pending_by_request.values()):
-            waits_at = pending.waits_at
-            if waits_at is None:
-                continue
-            if not {waits_at, *pending.upstream_ids()}.isdisjoint(upstream_ids):
-                self._grants.give_back(waits_at, pending.attempt_id)
-                self.answered(waits_at, pending.attempt_id, gone)
+            concerned = pending.waits_at.union(pending.upstream_ids())
+            if pending.run is None and not concerned.isdisjoint(upstream_ids):
+                for waits_at in tuple(pending.waits_at)[:1]:
+                    self.answered(waits_at, pending.attempt_id, gone)
 
     def prefilled(self, attempt_id: str) -> None:
         """Take the first token of an attempt."""
@@ -232,6 +231,7 @@
             return
         if pending.walk.stays(upstream_id, answer.expected_wait):
             return
+        pending.waits_at.discard(upstream_id)
         self._grants.give_back(upstream_id, pending.attempt_id)
         self.parts.chooser.note_done(upstream_id, pending.work)
         self._ask_next(pending)
@@ -249,18 +249,13 @@
             self.entry_id,
             candidates[:size],
             memory_needed(work),
+            work.arrival,
             admitted=pending.is_admitted,
         )
         pending.claim = claim
         self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
-        self._ask_member(pending, claim)
-
-    def _ask_member(self, pending: Pending, claim: GroupClaim) -> None:
-        following = claim.next_ask()
-        if following is None:
-            self._start(pending)
-            return
-        self._send(pending, following[0], following[1])
+        for member in claim.members:
+            self._send(pending, member, claim.ask)
 
     def _renew(self, pending: Pending, claim: GroupClaim) -> None:
         """Keep the holds of a group until it starts."""
@@ -270,15 +265,32 @@
         start_by = self._place.now() + GROUP_LEASE
         for held in claim.held():
             # The owner counts from when it hears this, so no earlier.
-            claim.renewed(held.reservation_id, start_by)
-            self._grants.tell(held, renewal(held))
+            claim.renewed(held.upstream_ids[0], start_by)
+            self._grants.renew(held, self._lost(pending, claim, held))
         pending.held = claim.held()
         self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
 
+    def _lost(
+        self, pending: Pending, claim: GroupClaim, held: Reservation
+    ) -> Callable[[], None]:
+        """Return what to do when an owner has let a hold of a group go."""
+
+        def ask_again() -> None:  # noqa: WPS430 - binds the hold.
+            if pending.claim is not claim or pending.run is not None:
+                return
+            if self._current(pending.attempt_id) is None:
+                return
+            upstream_id = held.upstream_ids[0]
+            ask = claim.lost(upstream_id)
+            pending.held = claim.held()
+            self._send(pending, upstream_id, ask)
+
+        return ask_again
+
     def _send(
         self, pending: Pending, upstream_id: UpstreamId, ask: Ask
     ) -> None:
-        pending.waits_at = upstream_id
+        pending.waits_at.add(upstream_id)
         now = self._place.now()
         self.parts.chooser.note_sent(upstream_id, ask.work, now)
         self.parts.outliers.note_sent(upstream_id, now)
@@ -292,8 +304,7 @@
         if pending.claim is None:
             self._ask_next(pending)
             return
-        for held in pending.held:
-            self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+        self._grants.give_all_back(pending)
         pending.failed.add(upstream_id)
         if pending.attempts < _GROUP_TRIES:
             self._attempt(pending)
@@ -311,8 +322,7 @@
     def _start(self, pending: Pending) -> None:
         now = self._place.now()
         if any(held.start_by <= now for held in pending.held):
-            for held in pending.held:
-                self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+            self._grants.give_all_back(pending)
             self._attempt(pending)
             return
         for held in pending.held:
@@ -335,14 +345,8 @@
         """Give up a request whose time limit has come."""
         if pending.work.request_id not in self._pending_by_request:
             return
-        if pending.waits_at is not None:
-            self._grants.give_back(pending.waits_at, pending.attempt_id)
-        held = pending.held
         if pending.run is None:
-            for reservation in held:
-                self._grants.give_back(
-                    reservation.upstream_ids[0], reservation.attempt_id
-                )
+            self._grants.give_all_back(pending)
         else:
             self._place.end(
                 pending.run, lambda: self._grants.release(pending, 0)
--- a/verbenathread/replay/pending.py
+++ b/verbenathread/replay/pending.py
@@ -12,6 +12,7 @@
 from verbenathread.scheduling.candidates import CandidateWalk
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim
+from verbenathread.scheduling.ledger import EngineLedger
 from verbenathread.scheduling.messages import Ask
 from verbenathread.types import (
     Millis,
@@ -23,6 +24,9 @@
     Work,
 )
 
+# Way of an owner's answer to a renewal.
+_ANSWER_MS = 1
+
 
 class EntryPlace(Protocol):
     """What an entry reaches through the network."""
@@ -65,7 +69,7 @@
         self.attempts = 0
         self.failed: set[UpstreamId] = set()
         self.walk = CandidateWalk((), 0)
-        self.waits_at: UpstreamId | None = None
+        self.waits_at: set[UpstreamId] = set()
         self.claim: GroupClaim | None = None
         self.held: tuple[Reservation, ...] = ()
         self.run: GroupRun | None = None
@@ -118,6 +122,22 @@
             lambda ledger: ledger.cancel(attempt_id),
         )
 
+    def give_all_back(self, pending: Pending) -> None:
+        """Cancel every ask and unstarted grant of an attempt."""
+        for upstream_id in pending.waits_at.union(pending.upstream_ids()):
+            self.give_back(upstream_id, pending.attempt_id)
+        pending.waits_at.clear()
+        pending.held = ()
+
+    def renew(self, held: Reservation, lost: Callable[[], object]) -> None:
+        """Renew a group's hold; ``lost`` runs if the owner has let it go."""
+
+        def apply(ledger: EngineLedger) -> None:  # noqa: WPS430 - binds.
+            if ledger.renew(held.reservation_id) is None:
+                self._place.later(_ANSWER_MS, lost)
+
+        self.tell(held, apply)
+
     def release(self, pending: Pending, output: int) -> None:
         """Give back what an attempt held, once no engine holds it."""
         held = pending.held
@@ -161,10 +181,5 @@
     return lambda ledger: ledger.progress(held.reservation_id, 1)
 
 
-def renewal(held: Reservation) -> LedgerAction:
-    """Return the renewal of a group's hold."""
-    return lambda ledger: ledger.renew(held.reservation_id)
-
-
 def _release(held: Reservation, output: int) -> LedgerAction:
     return lambda ledger: ledger.release(held.reservation_id, output)
--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from verbenathread.scheduling.holds import Hold, HoldBook, wait_for_memory
+from verbenathread.scheduling.holds import Hold, HoldBook, memory_outlook
 from verbenathread.scheduling.queueing import Waiting, WaitQueue
 from verbenathread.scheduling.tuning import Tuning
 from verbenathread.scheduling.usage import ClassUse
@@ -25,21 +25,23 @@
         self._use = use
         self._now = now
 
-    def wait(self, waiting: Waiting, headroom: int) -> float:
-        """Return expected ms until the engine begins the prompt."""
+    def wait(self, waiting: Waiting, needed: int) -> float:
+        """Return expected ms until the engine begins the prompt.
+
+        ``needed`` is the memory that must be free for it.
+        """
         prefill: float = 0
         for hold in self._holds:
             if hold.level <= waiting.level:
                 prefill += hold.prefill_left(self._now)
-        missing = waiting.ask.memory_tokens + headroom - self._holds.free
+        missing = needed - self._holds.free
         own_rank = self._queue.rank(waiting, self._now)
         for other in self._queue:
             if self._queue.rank(other, self._now) >= own_rank:
                 continue
             prefill += other.prefill
-            missing += other.ask.memory_tokens
-        memory = wait_for_memory(self._holds, missing, self._now)
-        return max(self._slowed(prefill, waiting.level), memory)
+        memory = memory_outlook(self._holds, missing, self._now)
+        return max(self._slowed(prefill, waiting.level), memory.wait)
 
     def service(self, waiting: Waiting) -> float:
         """Return expected ms of prefill beside more urgent classes."""
--- a/verbenathread/scheduling/groups.py
+++ b/verbenathread/scheduling/groups.py
@@ -1,9 +1,11 @@
 """Groups of engines for prompts larger than one: all or nothing.
 
-Every entry asks the owners in ascending order of the engines, and waits at
-one before it asks the next; so two half-held groups can't wait for each
-other. Each hold has a lease, which the asking entry renews until the attempt
-starts; the holds of an entry that dies come back when theirs run out.
+The asking entry asks every owner of the group at once, so that the engines
+make room at the same time, and begins when all have granted. One order of
+groups holds at every owner: a hold that has not started yields, when its
+entry renews the lease, to a group that comes before it. The first group in
+that order never yields, so two half-held groups can't wait for each other.
+The holds of an entry that dies come back when their leases run out.
 """
 
 from collections.abc import Sequence
@@ -34,6 +36,11 @@
     return max(1, -(-memory_tokens // usable))
 
 
+def group_order(ask: Ask) -> tuple[Millis, str]:
+    """Return the place of a group in the one order of all groups."""
+    return ask.order, ask.attempt_id
+
+
 class GroupClaim:
     """One group from the first ask to the last grant."""
 
@@ -44,49 +51,56 @@
         entry_id: NodeId,
         members: Sequence[UpstreamId],
         memory_tokens: int,
+        order: Millis,
         *,
         admitted: bool = False,
     ) -> None:
-        """Plan to hold an even share of the memory on each member."""
-        self.members = tuple(sorted(members))
-        share = -(-memory_tokens // len(self.members))
-        self._ask = Ask(work, attempt_id, entry_id, share, group=self.members)
-        self._held: list[Reservation] = []
+        """Plan to hold an even share of the memory on each member.
 
-    def next_ask(self) -> tuple[UpstreamId, Ask] | None:
-        """Return the next engine and what to ask its owner; None if all."""
-        if len(self._held) == len(self.members):
-            return None
-        # What holds memory already is not turned away for its deadline.
-        admitted = self._ask.admitted or bool(self._held)
-        ask = self._ask._replace(admitted=admitted)
-        return self.members[len(self._held)], ask
+        ``order`` is the wall clock at the arrival of the request.
+        """
+        self.members = tuple(sorted(members))
+        self.ask = Ask(
+            work,
+            attempt_id,
+            entry_id,
+            -(-memory_tokens // len(self.members)),
+            group=self.members,
+            order=order,
+            admitted=admitted,
+        )
+        self._held_by_id: dict[UpstreamId, Reservation] = {}
 
     def granted(self, reservation: Reservation) -> None:
-        """Note the hold that the last ask came to."""
-        self._held.append(reservation)
+        """Note a hold."""
+        self._held_by_id[reservation.upstream_ids[0]] = reservation
+
+    def renewed(self, upstream_id: UpstreamId, start_by: Millis) -> None:
+        """Note that an owner has renewed its hold."""
+        held = self._held_by_id.get(upstream_id)
+        if held is not None:
+            self._held_by_id[upstream_id] = held._replace(start_by=start_by)
+
+    def lost(self, upstream_id: UpstreamId) -> Ask:
+        """Note that a hold has yielded or run out; return what to ask."""
+        self._held_by_id.pop(upstream_id, None)
+        return self.ask._replace(admitted=True)
 
     def held(self) -> tuple[Reservation, ...]:
-        """Return the holds so far: to renew, or to release on a refusal."""
-        return tuple(self._held)
-
-    def renewed(self, reservation_id: str, start_by: Millis) -> None:
-        """Note that one owner has renewed its hold."""
-        self._held = [
-            held._replace(start_by=start_by)
-            if held.reservation_id == reservation_id
-            else held
-            for held in self._held
-        ]
+        """Return the holds so far: to renew, or to give back."""
+        return tuple(
+            self._held_by_id[member]
+            for member in self.members
+            if member in self._held_by_id
+        )
 
     def whole(self) -> Reservation | None:
         """Return the reservation of the whole group once all is held."""
-        if len(self._held) < len(self.members):
+        if len(self._held_by_id) < len(self.members):
             return None
-        first = self._held[0]
-        start_by: Millis = min(held.start_by for held in self._held)
-        return first._replace(
+        every = self.held()
+        return every[0]._replace(
             upstream_ids=self.members,
-            memory_tokens=sum(held.memory_tokens for held in self._held),
-            start_by=start_by,
+            memory_tokens=sum(held.memory_tokens for held in every),
+            start_by=min(held.start_by for held in every),
         )
--- a/verbenathread/scheduling/holds.py
+++ b/verbenathread/scheduling/holds.py
@@ -57,7 +57,6 @@
     waiting: Waiting,
     upstream_id: UpstreamId,
     priority: int,
-    output: float,
     now: Millis,
     start_by: Millis,
 ) -> Hold:
@@ -77,7 +76,7 @@
         length=waiting.length,
         level=waiting.level,
         prefill=waiting.prefill,
-        output=output,
+        output=waiting.output,
         granted_at=now,
     )
 
@@ -87,7 +86,9 @@
 
     def __init__(self, memory_tokens: int) -> None:
         """Start with all memory free."""
+        self.memory_tokens = memory_tokens
         self.free = memory_tokens
+        self.short_tokens = 0
         self._by_id: dict[str, Hold] = {}
 
     def __iter__(self) -> Iterator[Hold]:
@@ -106,7 +107,7 @@
         """Add a hold, or put its new state in place of the old one."""
         key = hold.reservation.reservation_id
         if key not in self._by_id:
-            self.free -= hold.reservation.memory_tokens
+            self._count(hold, hold.reservation.memory_tokens)
         self._by_id[key] = hold
 
     def expired(self, now: Millis) -> list[Hold]:
@@ -120,13 +121,27 @@
     def drop(self, hold: Hold) -> None:
         """Take the memory of a hold back."""
         self._by_id.pop(hold.reservation.reservation_id)
-        self.free += hold.reservation.memory_tokens
+        self._count(hold, -hold.reservation.memory_tokens)
 
+    def _count(self, hold: Hold, tokens: int) -> None:
+        self.free -= tokens
+        if hold.length == LengthClass.SHORT:
+            self.short_tokens += tokens
 
-def wait_for_memory(holds: Iterable[Hold], missing: int, now: Millis) -> float:
-    """Return expected ms until ``missing`` tokens of memory come back."""
+
+class MemoryOutlook(NamedTuple):
+    """When some memory comes back, and what comes back beyond it."""
+
+    wait: float
+    surplus: int
+
+
+def memory_outlook(
+    holds: Iterable[Hold], missing: int, now: Millis
+) -> MemoryOutlook:
+    """Return when ``missing`` tokens of memory are expected back."""
     if missing <= 0:
-        return 0
+        return MemoryOutlook(0, -missing)
     ends = [
         (hold.time_left(now), hold.reservation.memory_tokens) for hold in holds
     ]
@@ -135,4 +150,4 @@
     while ends and missing > 0:
         wait, tokens = heapq.heappop(ends)
         missing -= tokens
-    return wait
+    return MemoryOutlook(wait, max(0, -missing))
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -9,6 +9,13 @@
 from verbenathread.clock import Clock
 from verbenathread.scheduling import forecast
 from verbenathread.scheduling.estimates import PrefillCost
+from verbenathread.scheduling.granting import (
+    Granter,
+    Promise,
+    ahead_of,
+    kept_for_short,
+)
+from verbenathread.scheduling.groups import group_order
 from verbenathread.scheduling.holds import (
     Hold,
     HoldBook,
@@ -67,6 +74,7 @@
         self._book = HoldBook(memory_tokens)
         self._queue = WaitQueue(tuning)
         self._granted: list[Reservation] = []
+        self._promise = Promise()
         self._use = ClassUse()
         self._busy = BusyMeter(self.cost)
         self._sequence = 0
@@ -118,10 +126,17 @@
         self._book.keep(hold._replace(started_at=now))
 
     def renew(self, reservation: str) -> Millis | None:
-        """Renew the lease of a group's hold; None if it has run out."""
+        """Renew the lease of a group's hold.
+
+        None if it has run out, or if it yields to a group that comes before
+        it; the entry then asks for it again.
+        """
         hold = self._book.get(reservation)
         if hold is None:
             return None
+        if hold.started_at is None and self._must_yield(hold):
+            self._drop(hold)
+            return None
         start_by = self._clock.now() + GROUP_LEASE
         renewed = hold.reservation._replace(start_by=start_by)
         self._book.keep(hold._replace(reservation=renewed))
@@ -235,9 +250,7 @@
 
     def _refusal(self, waiting: Waiting, now: Millis) -> Refusal | None:
         ask = waiting.ask
-        if ask.memory_tokens > self.memory_tokens - self._headroom(
-            waiting.length
-        ):
+        if ask.memory_tokens > self._most_for(waiting.length):
             return Refusal(
                 RefusalReason.TOO_LONG,
                 'The prompt is longer than the engine; split it.',
@@ -246,7 +259,7 @@
         if ask.admitted:
             return None
         outlook = self._outlook(now)
-        wait = outlook.wait(waiting, self._headroom(waiting.length))
+        wait = outlook.wait(waiting, self._needed(waiting))
         if len(self._queue) >= self.policy.queue_limit:
             return Refusal(
                 RefusalReason.OVERLOADED,
@@ -273,38 +286,40 @@
                 self._granted.remove(reservation)
                 return reservation
         outlook = self._outlook(now)
-        return Queued(
-            int(outlook.wait(waiting, self._headroom(waiting.length)))
-        )
+        return Queued(int(outlook.wait(waiting, self._needed(waiting))))
 
     def _outlook(self, now: Millis) -> forecast.Outlook:
         return forecast.Outlook(self._book, self._queue, self._use, now)
 
-    def _headroom(self, length: LengthClass) -> int:
+    def _must_yield(self, hold: Hold) -> bool:
+        """Tell whether a group that comes before this hold's waits here."""
+        place = group_order(hold.ask)
+        return any(
+            waiting.ask.group and group_order(waiting.ask) < place
+            for waiting in self._queue
+        )
+
+    def _most_for(self, length: LengthClass) -> int:
+        """Return the most memory that one prompt of a class may hold."""
         if length == LengthClass.SHORT:
-            return 0
-        return int(self.memory_tokens * self.policy.short_headroom)
+            return self.memory_tokens
+        return int(self.memory_tokens * (1 - self.policy.short_headroom))
 
-    def _pump(self, now: Millis) -> None:
-        """Grant in order; after one that does not fit, short ones only.
+    def _needed(self, waiting: Waiting) -> int:
+        """Return the memory that must be free before an ask has its turn."""
+        kept = kept_for_short(self._book, waiting.length, self.policy)
+        ahead = ahead_of(self._queue, waiting)
+        return waiting.ask.memory_tokens + kept + ahead
 
-        Short ones may still take the headroom, which is kept for them; all
-        else waits behind the one that does not fit, so that it comes to its
-        turn.
-        """
-        gate = forecast.Gate(self._book, self._tuning, now)
+    def _pump(self, now: Millis) -> None:
+        """Grant memory to those that may have it now."""
+        if not len(self._queue):
+            return
+        granter = Granter(self._book, self.policy, self._tuning, now)
+        granter.protect(self._queue, self._promise)
         for waiting in self._queue.ordered(now):
-            if not gate.is_open(waiting.length):
-                continue
-            if self._fits(waiting):
-                gate.count(waiting)
+            if granter.may_have(waiting):
                 self._grant(waiting, now)
-                continue
-            gate.close_for_longer()
-
-    def _fits(self, waiting: Waiting) -> bool:
-        headroom = self._headroom(waiting.length)
-        return waiting.ask.memory_tokens <= self._book.free - headroom
 
     def _grant(self, waiting: Waiting, now: Millis) -> None:
         self._queue.remove(waiting.ask.attempt_id)
@@ -316,15 +331,7 @@
     def _hold(self, waiting: Waiting, now: Millis) -> Hold:
         lease = GROUP_LEASE if waiting.ask.group else START_WITHIN
         priority = waiting.level if self._tuning.priorities else 0
-        output = waiting.ask.work.expected_output_tokens
-        return make_hold(
-            waiting,
-            self.upstream_id,
-            priority,
-            self.cost.output(output),
-            now,
-            now + lease,
-        )
+        return make_hold(waiting, self.upstream_id, priority, now, now + lease)
 
     def _drop(self, hold: Hold) -> None:
         self._book.drop(hold)
--- a/verbenathread/scheduling/messages.py
+++ b/verbenathread/scheduling/messages.py
@@ -17,6 +17,9 @@
     weight: float = 1.0
     # All engines of the group in ascending order; empty for one engine.
     group: tuple[UpstreamId, ...] = ()
+    # Order between groups, the same at every owner: the asking entry's wall
+    # clock. Lower goes first; equal ones go by the attempt identifier.
+    order: Millis = 0
     # The work was admitted before, so the owner does its best for it.
     admitted: bool = False
 
--- a/verbenathread/scheduling/queueing.py
+++ b/verbenathread/scheduling/queueing.py
@@ -21,6 +21,8 @@
     since: Millis
     # Lower is more urgent, here and at the engine.
     level: int = 0
+    # Expected ms of generation.
+    output: float = 0
     # Virtual finish of the account's share; smaller goes first.
     finish: float = 0
 
@@ -42,7 +44,8 @@
         level = size_level(ask.work.prompt_tokens, policy)
     if not tuning.by_class:
         level = 0
-    return Waiting(ask, length, prefill, now, level)
+    output = cost.output(ask.work.expected_output_tokens)
+    return Waiting(ask, length, prefill, now, level, output)
 
 
 class WaitQueue:
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -153,8 +153,6 @@
             apart = self._roles.long_count(end, _LEAST_APART)
             if length_class(work.prompt_tokens, self.policy) == _LONG:
                 begin = end - apart
-            else:
-                end -= apart
         if end - begin < least or end <= begin:
             begin, end = 0, len(records)
         count = min(end - begin, wanted)
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -21,6 +21,8 @@
     long_prefills: int = 0
     # Waiting that makes a request one class more urgent; 0 is no ageing.
     ageing: Millis = 0
+    # Protect the oldest long ask; others pass if they do not delay it.
+    backfill: bool = False
     # Order between accounts by weighted fair shares.
     fair_shares: bool = False
     # Keep long prompts on their own share of the engines.
@@ -39,4 +41,5 @@
 
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
-CURRENT = PREVIOUS._replace(by_size=True)
+_PATIENCE: Millis = 50
+CURRENT = PREVIOUS._replace(by_size=True, second_ask=_PATIENCE, backfill=True)
