Look for another engine when a wait outlasts its forecast

Cause: at 80 % FBIS missed 2 prompts that waited 60 s behind one protected long prompt while other engines had room.

--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -1,9 +1,10 @@
 """One entry of a replay: the real decision parts, driven in virtual time."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from verbenathread.replay.engine import Job
+from verbenathread.replay.group_keeper import GroupKeeper
 from verbenathread.replay.owner import Answer
 from verbenathread.replay.pending import (
     EntryPlace,
@@ -20,10 +21,10 @@
 from verbenathread.scheduling.candidates import CandidateWalk
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
-from verbenathread.scheduling.ledger import GROUP_LEASE
 from verbenathread.scheduling.messages import Ask, Queued
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.scheduling.retries import Retry, RetryPolicy
+from verbenathread.scheduling.tuning import Tuning
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
     Millis,
@@ -35,9 +36,9 @@
     UpstreamId,
 )
 
-_RENEW_EVERY: Millis = 2000
+_LEAST_LOOK: Millis = 500
 # Sets of engines tried for one group.
-_GROUP_TRIES = 3
+_GROUP_TRIES = 6
 
 
 class EntryParts(NamedTuple):
@@ -49,7 +50,7 @@
     outliers: OutlierTracker
     outputs: OutputEstimator
     policy: settings_pb2.PolicySettings
-    second_ask: Millis
+    tuning: Tuning
     limits_by_account: dict[str, settings_pb2.AccountSettings]
 
 
@@ -65,6 +66,7 @@
         self.parts = parts
         self._place = place
         self._grants = Grants(entry_id, place, parts.chooser)
+        self._groups = GroupKeeper(place, self._grants, self._send)
         self._pending_by_request: dict[str, Pending] = {}
 
     def arrive(self, number: int, request: TraceRequest) -> None:
@@ -98,14 +100,14 @@
                 self._grants.give_back(upstream_id, attempt_id)
             return
         if isinstance(answer, Queued):
-            pending.is_admitted = True
+            pending.note_accepted(upstream_id)
             self._queued(pending, upstream_id, answer)
             return
         pending.waits_at.discard(upstream_id)
         if isinstance(answer, Refusal):
             self._turned_away(pending, upstream_id, answer)
             return
-        pending.is_admitted = True
+        pending.note_accepted(upstream_id)
         if pending.claim is None:
             pending.held = (answer,)
             self._start(pending)
@@ -158,9 +160,10 @@
             self.parts.outliers.note_failure(upstream_id, now)
             pending.failed.add(upstream_id)
         self._grants.release(pending, 0)
+        pending.failures += 1
         step = self.parts.retries.next(
             pending.work,
-            pending.attempts,
+            pending.failures,
             Outcome.UNKNOWN,
             now,
             repeatable=True,
@@ -184,10 +187,11 @@
 
     def _attempt(self, pending: Pending) -> None:
         """Choose engines for the next attempt, and ask the first."""
-        if pending.work.request_id not in self._pending_by_request:
+        if pending.is_over:
             return
         pending.attempts += 1
         pending.claim = None
+        pending.accepted.clear()
         pending.held = ()
         work = pending.work_left()
         records = self._place.records()
@@ -201,7 +205,7 @@
             work, records, self._place.now(), pending.failed | aside, size
         )
         if size == 1:
-            patience = self.parts.second_ask
+            patience = self.parts.tuning.second_ask
             pending.walk = CandidateWalk(candidates, patience)
             self._ask_next(pending)
             return
@@ -230,12 +234,30 @@
         if pending.claim is not None:
             return
         if pending.walk.stays(upstream_id, answer.expected_wait):
+            self._look_again_later(pending, answer.expected_wait)
             return
         pending.waits_at.discard(upstream_id)
         self._grants.give_back(upstream_id, pending.attempt_id)
         self.parts.chooser.note_done(upstream_id, pending.work)
         self._ask_next(pending)
 
+    def _look_again_later(self, pending: Pending, wait: Millis) -> None:
+        """Look for another engine if this one does not grant in time."""
+        share = self.parts.tuning.look_again
+        if not share:
+            return
+        walk = pending.walk
+        delay = max(_LEAST_LOOK, int(wait * share))
+        self._place.later(delay, lambda: self._look_again(pending, walk))
+
+    def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
+        if pending.is_over or pending.walk is not walk:
+            return
+        if not pending.waits_at:
+            return
+        self._grants.give_all_back(pending)
+        self._attempt(pending)
+
     def _ask_group(
         self, pending: Pending, candidates: Sequence[UpstreamId], size: int
     ) -> None:
@@ -253,40 +275,10 @@
             admitted=pending.is_admitted,
         )
         pending.claim = claim
-        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
+        self._groups.keep(pending, claim)
         for member in claim.members:
             self._send(pending, member, claim.ask)
 
-    def _renew(self, pending: Pending, claim: GroupClaim) -> None:
-        """Keep the holds of a group until it starts."""
-        is_current = pending.claim is claim and pending.run is None
-        if not is_current or self._current(pending.attempt_id) is None:
-            return
-        start_by = self._place.now() + GROUP_LEASE
-        for held in claim.held():
-            # The owner counts from when it hears this, so no earlier.
-            claim.renewed(held.upstream_ids[0], start_by)
-            self._grants.renew(held, self._lost(pending, claim, held))
-        pending.held = claim.held()
-        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
-
-    def _lost(
-        self, pending: Pending, claim: GroupClaim, held: Reservation
-    ) -> Callable[[], None]:
-        """Return what to do when an owner has let a hold of a group go."""
-
-        def ask_again() -> None:  # noqa: WPS430 - binds the hold.
-            if pending.claim is not claim or pending.run is not None:
-                return
-            if self._current(pending.attempt_id) is None:
-                return
-            upstream_id = held.upstream_ids[0]
-            ask = claim.lost(upstream_id)
-            pending.held = claim.held()
-            self._send(pending, upstream_id, ask)
-
-        return ask_again
-
     def _send(
         self, pending: Pending, upstream_id: UpstreamId, ask: Ask
     ) -> None:
@@ -306,7 +298,8 @@
             return
         self._grants.give_all_back(pending)
         pending.failed.add(upstream_id)
-        if pending.attempts < _GROUP_TRIES:
+        pending.failures += 1
+        if pending.failures < _GROUP_TRIES:
             self._attempt(pending)
             return
         self._nowhere(pending)
@@ -343,7 +336,7 @@
 
     def _time_out(self, pending: Pending) -> None:
         """Give up a request whose time limit has come."""
-        if pending.work.request_id not in self._pending_by_request:
+        if pending.is_over:
             return
         if pending.run is None:
             self._grants.give_all_back(pending)
@@ -360,6 +353,7 @@
         reason: RefusalReason | None = None,
     ) -> None:
         self._pending_by_request.pop(pending.work.request_id, None)
+        pending.is_over = True
         output = 0
         if ending is Ending.COMPLETED:
             output = pending.request.output_tokens
--- a/verbenathread/replay/owner.py
+++ b/verbenathread/replay/owner.py
@@ -101,8 +101,11 @@
             return
         # A reservation is late only after its start_by.
         self._tick_by_id[upstream_id] = moment + 1
-        self._loop.call_at(moment + 1, self._ticked, upstream_id)
+        self._loop.call_at(moment + 1, self._ticked, upstream_id, moment + 1)
 
-    def _ticked(self, upstream_id: UpstreamId) -> None:
-        self._tick_by_id.pop(upstream_id, None)
+    def _ticked(self, upstream_id: UpstreamId, moment: float) -> None:
+        if self._tick_by_id.get(upstream_id) != moment:
+            # An earlier tick took its place.
+            return
+        self._tick_by_id.pop(upstream_id)
         self.pump(upstream_id)
--- a/verbenathread/replay/pending.py
+++ b/verbenathread/replay/pending.py
@@ -67,6 +67,8 @@
         self.request = request
         self.work = work
         self.attempts = 0
+        # Attempts that broke, and groups that were refused.
+        self.failures = 0
         self.failed: set[UpstreamId] = set()
         self.walk = CandidateWalk((), 0)
         self.waits_at: set[UpstreamId] = set()
@@ -74,11 +76,21 @@
         self.held: tuple[Reservation, ...] = ()
         self.run: GroupRun | None = None
         self.is_admitted = False
+        self.is_over = False
+        # Owners that did not refuse the attempt in progress.
+        self.accepted: set[UpstreamId] = set()
         self.first_token_at: float | None = None
         # Output of earlier attempts, which a resumed one does not repeat.
         self.output_tokens = 0
         self.refusal: Refusal | None = None
 
+    def note_accepted(self, upstream_id: UpstreamId) -> None:
+        """Note that an owner did not refuse; a group needs every member."""
+        self.accepted.add(upstream_id)
+        members = () if self.claim is None else self.claim.members
+        if self.accepted.issuperset(members):
+            self.is_admitted = True
+
     @property
     def attempt_id(self) -> str:
         """Return the identifier of the attempt in progress."""
--- a/verbenathread/replay/replay.py
+++ b/verbenathread/replay/replay.py
@@ -82,7 +82,7 @@
                 outliers=OutlierTracker(),
                 outputs=OutputEstimator(),
                 policy=self._settings,
-                second_ask=policy.tuning.second_ask,
+                tuning=policy.tuning,
                 limits_by_account=dict(limits_by_account),
             )
             entry = Entry(entry_id, parts, self._fleet)
--- a/verbenathread/scheduling/granting.py
+++ b/verbenathread/scheduling/granting.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 
 from verbenathread.scheduling.forecast import Gate
-from verbenathread.scheduling.holds import HoldBook, memory_outlook
+from verbenathread.scheduling.groups import group_order
+from verbenathread.scheduling.holds import Hold, HoldBook, memory_outlook
 from verbenathread.scheduling.queueing import Waiting, WaitQueue
 from verbenathread.scheduling.tuning import Tuning
 from verbenathread.schema import settings_pb2
@@ -137,5 +138,14 @@
     return tokens
 
 
+def must_yield(hold: Hold, queue: Iterable[Waiting]) -> bool:
+    """Tell whether a group that comes before this hold's waits here."""
+    place = group_order(hold.ask)
+    return any(
+        waiting.ask.group and group_order(waiting.ask) < place
+        for waiting in queue
+    )
+
+
 def _age(waiting: Waiting) -> tuple[Millis, str]:
     return waiting.ask.work.arrival, waiting.ask.attempt_id
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -14,8 +14,8 @@
     Promise,
     ahead_of,
     kept_for_short,
+    must_yield,
 )
-from verbenathread.scheduling.groups import group_order
 from verbenathread.scheduling.holds import (
     Hold,
     HoldBook,
@@ -134,7 +134,7 @@
         hold = self._book.get(reservation)
         if hold is None:
             return None
-        if hold.started_at is None and self._must_yield(hold):
+        if hold.started_at is None and must_yield(hold, self._queue):
             self._drop(hold)
             return None
         start_by = self._clock.now() + GROUP_LEASE
@@ -266,9 +266,11 @@
                 'The queue of the engine is full; retry later.',
                 outlook.drain(),
             )
-        expected = ask.work.expected_output_tokens
-        end = now + wait + outlook.service(waiting) + self.cost.output(expected)
-        late = int(end) - ask.work.deadline
+        margin: float = 1
+        if waiting.length == LengthClass.LONG:
+            margin = self._tuning.long_margin
+        expected = wait + outlook.service(waiting) + waiting.output
+        late = int(now + expected * margin) - ask.work.deadline
         if self._tuning.refuse_late and late > 0:
             return Refusal(
                 RefusalReason.DEADLINE,
@@ -291,14 +293,6 @@
     def _outlook(self, now: Millis) -> forecast.Outlook:
         return forecast.Outlook(self._book, self._queue, self._use, now)
 
-    def _must_yield(self, hold: Hold) -> bool:
-        """Tell whether a group that comes before this hold's waits here."""
-        place = group_order(hold.ask)
-        return any(
-            waiting.ask.group and group_order(waiting.ask) < place
-            for waiting in self._queue
-        )
-
     def _most_for(self, length: LengthClass) -> int:
         """Return the most memory that one prompt of a class may hold."""
         if length == LengthClass.SHORT:
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -35,6 +35,11 @@
     refuse_late: bool = True
     # Weigh cached prefixes when an engine is chosen.
     affinity: bool = False
+    # Look for another engine after this share of the wait that was expected;
+    # 0 is never.
+    look_again: float = 0
+    # Time that a long prompt must have, as a multiple of what is expected.
+    long_margin: float = 1
     # Ask the next engine when the first one's wait is over this; 0 is never.
     second_ask: Millis = 0
 
@@ -42,4 +47,10 @@
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
 _PATIENCE: Millis = 50
-CURRENT = PREVIOUS._replace(by_size=True, second_ask=_PATIENCE, backfill=True)
+CURRENT = PREVIOUS._replace(
+    by_size=True,
+    second_ask=_PATIENCE,
+    backfill=True,
+    look_again=1.5,
+    long_margin=1.5,
+)
