--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from verbenathread.replay.engine import Job
+from verbenathread.replay.group_keeper import GroupKeeper
 from verbenathread.replay.owner import Answer
 from verbenathread.replay.pending import (
     EntryPlace,
@@ -12,7 +13,6 @@
     begin,
     new_work,
     progress,
-    renewal,
 )
 from verbenathread.replay.policies import EngineChooser
 from verbenathread.replay.results import Ending, RequestResult
@@ -21,10 +21,10 @@
 from verbenathread.scheduling.candidates import CandidateWalk
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
-from verbenathread.scheduling.ledger import GROUP_LEASE
 from verbenathread.scheduling.messages import Ask, Queued
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.scheduling.retries import Retry, RetryPolicy
+from verbenathread.scheduling.tuning import Tuning
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
     Millis,
@@ -36,9 +36,9 @@
     UpstreamId,
 )
 
-_RENEW_EVERY: Millis = 2000
+_LEAST_LOOK: Millis = 500
 # Sets of engines tried for one group.
-_GROUP_TRIES = 3
+_GROUP_TRIES = 6
 
 
 class EntryParts(NamedTuple):
@@ -50,7 +50,7 @@
     outliers: OutlierTracker
     outputs: OutputEstimator
     policy: settings_pb2.PolicySettings
-    second_ask: Millis
+    tuning: Tuning
     limits_by_account: dict[str, settings_pb2.AccountSettings]
 
 
@@ -66,6 +66,7 @@
         self.parts = parts
         self._place = place
         self._grants = Grants(entry_id, place, parts.chooser)
+        self._groups = GroupKeeper(place, self._grants, self._send)
         self._pending_by_request: dict[str, Pending] = {}
 
     def arrive(self, number: int, request: TraceRequest) -> None:
@@ -94,36 +95,36 @@
     ) -> None:
         """Take the answer of an engine's owner."""
         pending = self._current(attempt_id)
-        if pending is None or pending.waits_at != upstream_id:
+        if pending is None or upstream_id not in pending.waits_at:
             if isinstance(answer, Reservation):
                 self._grants.give_back(upstream_id, attempt_id)
             return
         if isinstance(answer, Queued):
-            pending.is_admitted = True
+            pending.note_accepted(upstream_id)
             self._queued(pending, upstream_id, answer)
             return
-        pending.waits_at = None
+        pending.waits_at.discard(upstream_id)
         if isinstance(answer, Refusal):
             self._turned_away(pending, upstream_id, answer)
             return
-        pending.is_admitted = True
-        pending.held = (*pending.held, answer)
+        pending.note_accepted(upstream_id)
         if pending.claim is None:
+            pending.held = (answer,)
             self._start(pending)
             return
         pending.claim.granted(answer)
-        self._ask_member(pending, pending.claim)
+        pending.held = pending.claim.held()
+        if pending.claim.whole() is not None:
+            self._start(pending)
 
     def owner_lost(self, upstream_ids: Sequence[UpstreamId]) -> None:
         """Ask elsewhere for what waits at an owner that is gone."""
         gone = Refusal(RefusalReason.NO_UPSTREAM, 'The owner is gone.', 1000)
         for pending in tuple(self._pending_by_request.values()):
-            waits_at = pending.waits_at
-            if waits_at is None:
-                continue
-            if not {waits_at, *pending.upstream_ids()}.isdisjoint(upstream_ids):
-                self._grants.give_back(waits_at, pending.attempt_id)
-                self.answered(waits_at, pending.attempt_id, gone)
+            concerned = pending.waits_at.union(pending.upstream_ids())
+            if pending.run is None and not concerned.isdisjoint(upstream_ids):
+                for waits_at in tuple(pending.waits_at)[:1]:
+                    self.answered(waits_at, pending.attempt_id, gone)
 
     def prefilled(self, attempt_id: str) -> None:
         """Take the first token of an attempt."""
@@ -159,9 +160,10 @@
             self.parts.outliers.note_failure(upstream_id, now)
             pending.failed.add(upstream_id)
         self._grants.release(pending, 0)
+        pending.failures += 1
         step = self.parts.retries.next(
             pending.work,
-            pending.attempts,
+            pending.failures,
             Outcome.UNKNOWN,
             now,
             repeatable=True,
@@ -185,10 +187,11 @@
 
     def _attempt(self, pending: Pending) -> None:
         """Choose engines for the next attempt, and ask the first."""
-        if pending.work.request_id not in self._pending_by_request:
+        if pending.is_over:
             return
         pending.attempts += 1
         pending.claim = None
+        pending.accepted.clear()
         pending.held = ()
         work = pending.work_left()
         records = self._place.records()
@@ -202,7 +205,7 @@
             work, records, self._place.now(), pending.failed | aside, size
         )
         if size == 1:
-            patience = self.parts.second_ask
+            patience = self.parts.tuning.second_ask
             pending.walk = CandidateWalk(candidates, patience)
             self._ask_next(pending)
             return
@@ -231,11 +234,30 @@
         if pending.claim is not None:
             return
         if pending.walk.stays(upstream_id, answer.expected_wait):
+            self._look_again_later(pending, answer.expected_wait)
             return
+        pending.waits_at.discard(upstream_id)
         self._grants.give_back(upstream_id, pending.attempt_id)
         self.parts.chooser.note_done(upstream_id, pending.work)
         self._ask_next(pending)
 
+    def _look_again_later(self, pending: Pending, wait: Millis) -> None:
+        """Look for another engine if this one does not grant in time."""
+        share = self.parts.tuning.look_again
+        if not share:
+            return
+        walk = pending.walk
+        delay = max(_LEAST_LOOK, int(wait * share))
+        self._place.later(delay, lambda: self._look_again(pending, walk))
+
+    def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
+        if pending.is_over or pending.walk is not walk:
+            return
+        if not pending.waits_at:
+            return
+        self._grants.give_all_back(pending)
+        self._attempt(pending)
+
     def _ask_group(
         self, pending: Pending, candidates: Sequence[UpstreamId], size: int
     ) -> None:
@@ -249,36 +271,18 @@
             self.entry_id,
             candidates[:size],
             memory_needed(work),
+            work.arrival,
             admitted=pending.is_admitted,
         )
         pending.claim = claim
-        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
-        self._ask_member(pending, claim)
-
-    def _ask_member(self, pending: Pending, claim: GroupClaim) -> None:
-        following = claim.next_ask()
-        if following is None:
-            self._start(pending)
-            return
-        self._send(pending, following[0], following[1])
-
-    def _renew(self, pending: Pending, claim: GroupClaim) -> None:
-        """Keep the holds of a group until it starts."""
-        is_current = pending.claim is claim and pending.run is None
-        if not is_current or self._current(pending.attempt_id) is None:
-            return
-        start_by = self._place.now() + GROUP_LEASE
-        for held in claim.held():
-            # The owner counts from when it hears this, so no earlier.
-            claim.renewed(held.reservation_id, start_by)
-            self._grants.tell(held, renewal(held))
-        pending.held = claim.held()
-        self._place.later(_RENEW_EVERY, lambda: self._renew(pending, claim))
+        self._groups.keep(pending, claim)
+        for member in claim.members:
+            self._send(pending, member, claim.ask)
 
     def _send(
         self, pending: Pending, upstream_id: UpstreamId, ask: Ask
     ) -> None:
-        pending.waits_at = upstream_id
+        pending.waits_at.add(upstream_id)
         now = self._place.now()
         self.parts.chooser.note_sent(upstream_id, ask.work, now)
         self.parts.outliers.note_sent(upstream_id, now)
@@ -292,10 +296,10 @@
         if pending.claim is None:
             self._ask_next(pending)
             return
-        for held in pending.held:
-            self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+        self._grants.give_all_back(pending)
         pending.failed.add(upstream_id)
-        if pending.attempts < _GROUP_TRIES:
+        pending.failures += 1
+        if pending.failures < _GROUP_TRIES:
             self._attempt(pending)
             return
         self._nowhere(pending)
@@ -311,8 +315,7 @@
     def _start(self, pending: Pending) -> None:
         now = self._place.now()
         if any(held.start_by <= now for held in pending.held):
-            for held in pending.held:
-                self._grants.give_back(held.upstream_ids[0], held.attempt_id)
+            self._grants.give_all_back(pending)
             self._attempt(pending)
             return
         for held in pending.held:
@@ -333,16 +336,10 @@
 
     def _time_out(self, pending: Pending) -> None:
         """Give up a request whose time limit has come."""
-        if pending.work.request_id not in self._pending_by_request:
+        if pending.is_over:
             return
-        if pending.waits_at is not None:
-            self._grants.give_back(pending.waits_at, pending.attempt_id)
-        held = pending.held
         if pending.run is None:
-            for reservation in held:
-                self._grants.give_back(
-                    reservation.upstream_ids[0], reservation.attempt_id
-                )
+            self._grants.give_all_back(pending)
         else:
             self._place.end(
                 pending.run, lambda: self._grants.release(pending, 0)
@@ -356,6 +353,7 @@
         reason: RefusalReason | None = None,
     ) -> None:
         self._pending_by_request.pop(pending.work.request_id, None)
+        pending.is_over = True
         output = 0
         if ending is Ending.COMPLETED:
             output = pending.request.output_tokens
