--- a/tools/slopes_cell.py
+++ b/tools/slopes_cell.py
@@ -20,6 +20,7 @@
 _MEASURE_SECONDS = 10
 _RENEW_SECONDS = 2
 _CONTROL_VMS = 3
+_ENGINE_ADDRESS = '127.1.3.1:18100'
 _MS_PER_SECOND = 1000
 
 
@@ -67,8 +68,8 @@
             'upstream_id': f'engine-{engine}',
             'incarnation': 1,
             'service': MODEL,
-            # Nothing listens there; nothing is sent to it either.
-            'address': f'127.1.3.1:{engine + 1}',
+            # One idle stand-in answers for all of them.
+            'address': _ENGINE_ADDRESS,
             'data_centre': 'dc-1',
             'memory_tokens': 400_000,
         }
@@ -81,6 +82,9 @@
     with tempfile.TemporaryDirectory() as folder:
         size = Size(_CONTROL_VMS, entries)
         with local_cluster(Path(folder), size) as cluster:
+            cluster.processes.start(
+                'engines', 'tests.standins.engine', '--listen', _ENGINE_ADDRESS
+            )
             renewals = Renewals(cluster, engines)
             time.sleep(_SETTLE_SECONDS)
             cost = _measure(cluster, engines)
