Lose a disk in the midst of a schedule of faults

Cause: the schedules only lost a disk when all was calm, which no missing mechanism could show. A node now comes back under its old name with an empty folder at any moment, and is replaced at the end.

--- a/tests/consensus_schedule.py
+++ b/tests/consensus_schedule.py
@@ -32,6 +32,7 @@
     'heal',
     'weather',
     'replace_disk',
+    'lose_disk',
 )
 _SNAPSHOT_RECORDS = 12
 _CHUNK_BYTES = 200
@@ -98,6 +99,9 @@
         self.checks = Checks()
         self.calls: list[asyncio.Task[None]] = []
         self.counter = 0
+        self.formed = False
+        # The node whose disk is gone; it is readmitted at the end.
+        self.wiped = ''
 
     async def run(self, steps):
         async with self.group as group:
@@ -105,6 +109,7 @@
             if steps and steps[0].action != 'crash':
                 # Else the group is formed under faults.
                 await group.propose_all(['formed'])
+                self.formed = True
             await in_turn(self.step, steps)
             await self.recover()
             last = await group.propose_all(['last'])
@@ -137,6 +142,8 @@
         await self.calm_down()
         await asyncio.wait(self.calls)
         await in_turn(self.revive, [one.node_id for one in self.group.first])
+        if self.wiped:
+            await self.readmit(self.wiped)
 
     async def calm_down(self):
         """Bring about no further fault."""
@@ -257,11 +264,18 @@
         files = self.group.files_by_id[node_id]
         files.sync_seconds = self.group.chance.choice((0.002, 0.03, 0.3))
 
+    async def lose_disk(self, node_id):
+        """Lose one disk in the midst; the node comes back under its name."""
+        if self.formed and not self.wiped and node_id in self.group.replicas:
+            self.wiped = node_id
+            await self.group.lose_disk(node_id)
+            await self.group.start(node_id)
+
     async def replace_disk(self, node_id):
         """Lose one disk while the others are whole, and replace the voter."""
         group = self.group
         await self.calm_down()
-        if len(group.replicas) < len(group.first):
+        if self.wiped or len(group.replicas) < len(group.first):
             return
         # Without a formed group there is nothing to lose or to replace.
         await group.settle(await group.propose_all(['whole']))
