Connect anew after a silent call, and tell an unknown change of members

Cause: after a long cut a kept TCP connection waits up to minutes between retransmissions, so a healed member would stay away; and a replica that stopped during change_member raised its own disk error at the caller. Ruled out: dropping the connection at a slow append too (a slow disk would then cost heartbeats). Before: the second call to a silent peer used the same connection.

--- a/tests/test_consensus_rpc.py
+++ b/tests/test_consensus_rpc.py
@@ -78,6 +78,29 @@
         for refusal, remedy in zip(refusals, ('the cluster', 'node_key')):
             self.assertIn(remedy, refusal)
 
+    def test_a_silent_connection_is_replaced(self):
+        accepted = []
+
+        async def scene():
+            server = await asyncio.start_server(
+                lambda *pair: accepted.append(pair), '127.0.0.1', 0
+            )
+            address = Address(*server.sockets[0].getsockname())
+            transport = RpcTransport('c', 'k')
+
+            async def call(_):
+                with self.assertRaises(UnavailableError):
+                    await transport.beat(
+                        Peer('n1', address), BeatRequest(), 200
+                    )
+
+            await in_turn(call, range(2))
+            transport.close()
+            server.close()
+
+        asyncio.run(scene())
+        self.assertEqual(len(accepted), 2)
+
     async def find_leader(self, nodes):
         while True:
             for replica, _, _ in nodes:
--- a/verbenathread/consensus/leader.py
+++ b/verbenathread/consensus/leader.py
@@ -19,7 +19,7 @@
 )
 from verbenathread.consensus.transport import Transport
 from verbenathread.consensus.waiting import TaskSet, wait_event
-from verbenathread.exceptions import UnavailableError
+from verbenathread.exceptions import UnavailableError, UnknownOutcomeError
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema.consensus_pb2 import (
     ENTRY_MEMBERS,
@@ -88,6 +88,11 @@
             self._write_members(leading, members, expected)
         )
         await asyncio.wait((task,))
+        if task.cancelled() or task.exception() is not None:
+            raise UnknownOutcomeError(
+                'This replica stopped during the change of members; read the '
+                'status at another one.'
+            )
         outcome = task.result()
         if isinstance(outcome, UnavailableError):
             raise outcome
--- a/verbenathread/consensus/machine.py
+++ b/verbenathread/consensus/machine.py
@@ -15,7 +15,9 @@
     """State that is built from the log alone.
 
     Equal commands in equal order must give equal state and results on each
-    replica, so nothing here may read a clock or draw a random number.
+    replica, so nothing here may read a clock or draw a random number. An
+    error raised here stops the replica, and stops it again at each restart:
+    check a command before it is proposed, and return refusals as results.
     """
 
     def apply(self, index: int, command: bytes) -> bytes:
--- a/verbenathread/consensus/rpc.py
+++ b/verbenathread/consensus/rpc.py
@@ -42,7 +42,11 @@
     ) -> messages.VoteReply:
         """Ask for a vote."""
         stub = self._stub(peer)
-        return await self._call(peer, stub.Vote, request, limit)
+        try:
+            return await self._call(peer, stub.Vote, request, limit)
+        except UnavailableError:
+            self._drop(peer)
+            raise
 
     async def append(
         self, peer: Peer, request: messages.AppendRequest, limit: Millis
@@ -56,7 +60,11 @@
     ) -> messages.BeatReply:
         """Send a heartbeat."""
         stub = self._stub(peer)
-        return await self._call(peer, stub.Beat, request, limit)
+        try:
+            return await self._call(peer, stub.Beat, request, limit)
+        except UnavailableError:
+            self._drop(peer)
+            raise
 
     async def install(
         self, peer: Peer, request: messages.InstallRequest, limit: Millis
@@ -85,6 +93,16 @@
             self._channel_by_peer[peer] = channel
         return ConsensusStub(channel)
 
+    def _drop(self, peer: Peer) -> None:
+        """Connect anew at the next call.
+
+        After a long cut the old connection would wait for minutes before it
+        sends again. Only calls that no sync slows down come here.
+        """
+        channel = self._channel_by_peer.pop(peer, None)
+        if channel is not None:
+            channel.close()
+
     async def _call(
         self,
         peer: Peer,
