--- /dev/null
+++ b/tests/control_processes.py
@@ -0,0 +1,136 @@
+"""Real control processes for tests, each started and ended by its id."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from pathlib import Path
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from tests.control_commands import ROOT_KEY, ROOT_SHA
+from tools.processes import Processes, Started
+from verbenathread.admin.client import ControlClient
+from verbenathread.schema import control_pb2
+from verbenathread.schema.control_grpc import ControlStub
+from verbenathread.types import Address, Millis
+
+NODE_KEY = 'node-key'
+CLUSTER = 'proof'
+_BROKEN = (GRPCError, StreamTerminatedError, OSError)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody used a moment ago."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(('127.0.0.1', 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class ControlGroup:
+    """Control processes c0, c1, ... over one folder each."""
+
+    def __init__(
+        self, processes: Processes, *, count: int = 3, records: int = 50
+    ) -> None:
+        self.processes = processes
+        ports = free_ports(count)
+        self.address_by_name = {
+            f'c{number}': Address('127.0.0.1', port)
+            for number, port in enumerate(ports)
+        }
+        voters = ','.join(
+            f'{name}@{address}'
+            for name, address in self.address_by_name.items()
+        )
+        for name, address in self.address_by_name.items():
+            metrics = free_ports(1)[0]
+            self._path(name).write_text(
+                f'[node]\nid = {name}\ndata_centre = jackson-ms\n'
+                f'cluster = {CLUSTER}\nnode_key = {NODE_KEY}\n'
+                f'[control]\nlisten = {address}\nvoters = {voters}\n'
+                f'metrics_listen = 127.0.0.1:{metrics}\n'
+                f'data_folder = {processes.folder / name}-data\n'
+                f'root_key_sha256 = {ROOT_SHA}\n'
+                'election_timeout = 500\nheartbeat = 100\n'
+                f'snapshot_records = {records}\n'
+            )
+            self.start(name)
+
+    def start(self, name: str) -> Started:
+        """Start one process; its name is free again after it ended."""
+        return self.processes.start(
+            name,
+            'verbenathread',
+            'control',
+            '--settings',
+            str(self._path(name)),
+        )
+
+    def client(self, *names: str, limit: Millis = 20_000) -> ControlClient:
+        """Return a client of the named processes, or of all."""
+        chosen = names or tuple(self.address_by_name)
+        addresses = [self.address_by_name[name] for name in chosen]
+        return ControlClient(addresses, 'root', ROOT_KEY, limit)
+
+    def _path(self, name: str) -> Path:
+        return self.processes.folder / f'{name}.ini'
+
+
+class NodeSession:
+    """A node that takes what control pushes and reports what it runs."""
+
+    def __init__(self, group: ControlGroup, node_id: str, *names: str) -> None:
+        self.node_id = node_id
+        self.revision = 0
+        self.fell = False
+        # Loop time at which each revision was first run.
+        self.time_by_revision: dict[int, float] = {}
+        self._addresses = [group.address_by_name[name] for name in names]
+
+    async def run(self) -> None:
+        """Hold a session with any of the processes, until cancelled."""
+        turn = 0
+        while True:
+            address = self._addresses[turn % len(self._addresses)]
+            turn += 1
+            channel = Channel(address.host, address.port)
+            with contextlib.suppress(GRPCError, StreamTerminatedError, OSError):
+                await self._hold(ControlStub(channel))
+            channel.close()
+            await asyncio.sleep(0.05)
+
+    def take(self, update: control_pb2.TreeUpdate) -> None:
+        """Run what an update brings, and note if it were older."""
+        if update.branches and update.revision < self.revision:
+            self.fell = True
+        if update.revision <= self.revision:
+            return
+        self.revision = update.revision
+        self.time_by_revision[update.revision] = time.monotonic()
+
+    def report(self) -> control_pb2.NodeReport:
+        """Return the heartbeat of this node."""
+        return control_pb2.NodeReport(
+            node_id=self.node_id,
+            incarnation=1,
+            role='entry',
+            data_centre='jackson-ms',
+            revision=self.revision,
+            cluster=CLUSTER,
+            node_key=NODE_KEY,
+        )
+
+    async def _hold(self, stub: ControlStub) -> None:
+        async with stub.Session.open() as stream:
+            while True:
+                await stream.send_message(self.report())
+                update = await asyncio.wait_for(stream.recv_message(), 4)
+                if update is None:
+                    return
+                self.take(update)
--- a/verbenathread/commands.py
+++ b/verbenathread/commands.py
@@ -9,7 +9,9 @@
 from google.protobuf.json_format import MessageToDict
 
 from verbenathread import __version__
+from verbenathread.admin.commands import COMMANDS as OPERATOR_COMMANDS
 from verbenathread.command import Command, Rendered, argument
+from verbenathread.daemons import run_control, run_entry
 from verbenathread.exceptions import SettingsError
 from verbenathread.settings.node import check_node_text, load_node_settings
 from verbenathread.settings.rules import Problem, options_of
@@ -86,6 +88,22 @@
 
 
 CORE_COMMANDS = (
+    Command(
+        'entry',
+        'Run an entry: take requests and relay them to upstreams.',
+        (_SETTINGS_ARGUMENT,),
+        'verbenathread entry --settings examples/tillery/entry-1.ini',
+        run_entry,
+        prints=False,
+    ),
+    Command(
+        'control',
+        'Run a control process: keep settings, claims, orders and the audit.',
+        (_SETTINGS_ARGUMENT,),
+        'verbenathread control --settings examples/tillery/control-1.ini',
+        run_control,
+        prints=False,
+    ),
     Command(
         'check',
         'Check settings files: what is wrong, and what to write instead.',
@@ -112,4 +130,4 @@
 
 def all_commands() -> tuple[Command, ...]:
     """Return every command of the program."""
-    return CORE_COMMANDS
+    return (*CORE_COMMANDS, *OPERATOR_COMMANDS)
--- /dev/null
+++ b/verbenathread/replay/pending.py
@@ -0,0 +1,197 @@
+"""A request in progress at an entry of a replay, and its messages."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from verbenathread.replay.engine import Job
+from verbenathread.replay.grouping import GroupRun
+from verbenathread.replay.owner import LedgerAction
+from verbenathread.replay.policies import EngineChooser
+from verbenathread.replay.results import RequestResult
+from verbenathread.replay.trace import TraceRequest
+from verbenathread.scheduling.candidates import CandidateWalk
+from verbenathread.scheduling.estimates import OutputEstimator
+from verbenathread.scheduling.groups import GroupClaim
+from verbenathread.scheduling.ledger import EngineLedger
+from verbenathread.scheduling.messages import Ask
+from verbenathread.types import (
+    Millis,
+    NodeId,
+    Refusal,
+    Reservation,
+    UpstreamId,
+    UpstreamRecord,
+    Work,
+)
+
+# Way of an owner's answer to a renewal.
+_ANSWER_MS = 1
+
+
+class EntryPlace(Protocol):
+    """What an entry reaches through the network."""
+
+    def now(self) -> Millis:
+        """Return virtual time in ms."""
+
+    def later(self, delay: float, action: Callable[..., object]) -> None:
+        """Run an action after a delay in ms."""
+
+    def records(self) -> Sequence[UpstreamRecord]:
+        """Return the engines in service."""
+
+    def ask(self, entry_id: NodeId, upstream_id: UpstreamId, ask: Ask) -> None:
+        """Send an ask to the owner of an engine."""
+
+    def tell(
+        self, entry_id: NodeId, upstream_id: UpstreamId, action: LedgerAction
+    ) -> None:
+        """Send news to the owner of an engine."""
+
+    def start(self, upstream_ids: Sequence[UpstreamId], job: Job) -> GroupRun:
+        """Begin a job on its engines, after the latency."""
+
+    def end(self, run: GroupRun, confirmed: Callable[[], object]) -> None:
+        """Cancel a job on its engines, and confirm."""
+
+    def note(self, result: RequestResult) -> None:
+        """Take the end of one request."""
+
+
+class Pending:
+    """One request while the entry serves it."""
+
+    def __init__(self, number: int, request: TraceRequest, work: Work) -> None:
+        """Begin before the first attempt."""
+        self.number = number
+        self.request = request
+        self.work = work
+        self.attempts = 0
+        # Attempts that broke, and groups that were refused.
+        self.failures = 0
+        self.failed: set[UpstreamId] = set()
+        self.walk = CandidateWalk((), 0)
+        self.waits_at: set[UpstreamId] = set()
+        self.claim: GroupClaim | None = None
+        self.held: tuple[Reservation, ...] = ()
+        self.run: GroupRun | None = None
+        self.is_admitted = False
+        self.is_over = False
+        # Owners that did not refuse the attempt in progress.
+        self.accepted: set[UpstreamId] = set()
+        self.first_token_at: float | None = None
+        # Output of earlier attempts, which a resumed one does not repeat.
+        self.output_tokens = 0
+        self.refusal: Refusal | None = None
+
+    def note_accepted(self, upstream_id: UpstreamId) -> None:
+        """Note that an owner did not refuse; a group needs every member."""
+        self.accepted.add(upstream_id)
+        members = () if self.claim is None else self.claim.members
+        if self.accepted.issuperset(members):
+            self.is_admitted = True
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the identifier of the attempt in progress."""
+        return f'{self.work.request_id}.{self.attempts}'
+
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the engines that the attempt holds memory of."""
+        return tuple(held.upstream_ids[0] for held in self.held)
+
+    def work_left(self) -> Work:
+        """Return what an attempt from the last token on would cost."""
+        done = self.output_tokens
+        work = self.work
+        return work._replace(
+            prompt_tokens=work.prompt_tokens + done,
+            most_output_tokens=work.most_output_tokens - done,
+            expected_output_tokens=max(1, work.expected_output_tokens - done),
+        )
+
+
+class Grants:
+    """Messages of one entry to the owners of engines."""
+
+    def __init__(
+        self, entry_id: NodeId, place: EntryPlace, chooser: EngineChooser
+    ) -> None:
+        """Speak for ``entry_id``."""
+        self._entry_id = entry_id
+        self._place = place
+        self._chooser = chooser
+
+    def tell(self, held: Reservation, action: LedgerAction) -> None:
+        """Send news of a hold to the engine's owner."""
+        self._place.tell(self._entry_id, held.upstream_ids[0], action)
+
+    def give_back(self, upstream_id: UpstreamId, attempt_id: str) -> None:
+        """Cancel an ask, or a grant that did not start."""
+        self._place.tell(
+            self._entry_id,
+            upstream_id,
+            lambda ledger: ledger.cancel(attempt_id),
+        )
+
+    def give_all_back(self, pending: Pending) -> None:
+        """Cancel every ask and unstarted grant of an attempt."""
+        for upstream_id in pending.waits_at.union(pending.upstream_ids()):
+            self.give_back(upstream_id, pending.attempt_id)
+        pending.waits_at.clear()
+        pending.held = ()
+
+    def renew(self, held: Reservation, lost: Callable[[], object]) -> None:
+        """Renew a group's hold; ``lost`` runs if the owner has let it go."""
+
+        def apply(ledger: EngineLedger) -> None:  # noqa: WPS430 - binds.
+            if ledger.renew(held.reservation_id) is None:
+                self._place.later(_ANSWER_MS, lost)
+
+        self.tell(held, apply)
+
+    def release(self, pending: Pending, output: int) -> None:
+        """Give back what an attempt held, once no engine holds it."""
+        held = pending.held
+        pending.held = ()
+        pending.run = None
+        for reservation in held:
+            self.tell(reservation, _release(reservation, output))
+            self._chooser.note_done(reservation.upstream_ids[0], pending.work)
+
+
+def new_work(
+    number: int,
+    request: TraceRequest,
+    outputs: OutputEstimator,
+    now: Millis,
+) -> Work:
+    """Return what the scheduler knows of a request that arrives now."""
+    expected = outputs.expected(
+        request.account, request.service, request.most_output_tokens
+    )
+    return Work(
+        request_id=f'r{number}',
+        account=request.account,
+        service=request.service,
+        prompt_tokens=request.prompt_tokens,
+        most_output_tokens=request.most_output_tokens,
+        expected_output_tokens=expected,
+        deadline=now + request.time_limit,
+        arrival=now,
+        prefix_hashes=request.prefix_hashes,
+    )
+
+
+def begin(held: Reservation) -> LedgerAction:
+    """Return the news that the engine has taken the attempt."""
+    return lambda ledger: ledger.started(held.reservation_id)
+
+
+def progress(held: Reservation) -> LedgerAction:
+    """Return the news of the first token."""
+    return lambda ledger: ledger.progress(held.reservation_id, 1)
+
+
+def _release(held: Reservation, output: int) -> LedgerAction:
+    return lambda ledger: ledger.release(held.reservation_id, output)
