Tell a caller at once that its entry was replaced

Ruled out: answering "not taken" there, since another replica may still hold the entry and lead later; it is told as unknown.

--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -163,6 +163,26 @@
 
         self.assertEqual(self.run_scene(scene), [0, 2])
 
+    def test_caller_hears_soon_that_its_entry_was_replaced(self):
+        async def scene(group):
+            leader = await group.leader()
+            old = group.replicas[leader]
+            others = [one for one in group.replicas if one != leader]
+            group.network.isolate(leader)
+            calls = []
+            for number in range(5):
+                call = old.propose(b'%d' % number, 600_000)
+                calls.append(asyncio.create_task(self.outcome(call)))
+            await asyncio.sleep(0.1)
+            await group.leader(among=others)
+            group.network.heal()
+            # The new leader's log is shorter than the old one's.
+            await asyncio.sleep(5)
+            return [task.done() and task.result() for task in calls]
+
+        outcomes = self.run_scene(scene)
+        self.assertEqual(set(outcomes), {NotLeaderError, UnknownOutcomeError})
+
 
 class ReadTest(GroupCase):
     def test_barrier_of_a_cut_off_leader_fails(self):
--- a/verbenathread/consensus/applier.py
+++ b/verbenathread/consensus/applier.py
@@ -44,13 +44,10 @@
         )
 
     def restore(self, snapshot: LogSnapshot) -> None:
-        """Take over a snapshot that is newer than what was applied."""
+        """Take over a snapshot that replaces the whole log."""
         self._machine.restore(snapshot.image)
         self.applied_index = snapshot.index
-        for index in tuple(self._expected_by_index):
-            if index <= snapshot.index:
-                _, proposal = self._expected_by_index.pop(index)
-                proposal.fail(_unknown())
+        self.abandon_from(0)
         self._state.changed.fire()
 
     async def run(self) -> None:
@@ -64,11 +61,15 @@
             state.changed.fire()
             await self._take_snapshot()
 
-    def abandon(self) -> None:
-        """Tell whoever waits that the outcome can't be known here."""
-        for _, proposal in self._expected_by_index.values():
-            proposal.fail(_unknown())
-        self._expected_by_index.clear()
+    def abandon_from(self, first: int) -> None:
+        """Tell whoever waits for ``first`` or later: the outcome is unknown.
+
+        Their entries left this log; another replica may still hold them.
+        """
+        for index in tuple(self._expected_by_index):
+            if index >= first:
+                _, proposal = self._expected_by_index.pop(index)
+                proposal.fail(_unknown())
 
     def _has_work(self) -> bool:
         return self._state.commit_index > self.applied_index
--- a/verbenathread/consensus/follower.py
+++ b/verbenathread/consensus/follower.py
@@ -3,6 +3,8 @@
 After Raft (Ongaro and Ousterhout 2014, section 5.3).
 """
 
+from collections.abc import Callable
+
 from verbenathread.consensus.state import ReplicaState
 from verbenathread.exceptions import StorageError
 from verbenathread.observability.logs import get_logger
@@ -21,9 +23,10 @@
 class Follower:
     """Answers the leader; what it confirms is synced."""
 
-    def __init__(self, state: ReplicaState) -> None:
-        """Act on ``state``."""
+    def __init__(self, state: ReplicaState, cut: Callable[[int], None]) -> None:
+        """Call ``cut`` with the index from which entries were replaced."""
         self._state = state
+        self._cut = cut
         self._warned = False
 
     async def append(self, request: AppendRequest) -> AppendReply:
@@ -93,6 +96,8 @@
         fresh = self._fresh_entries(request)
         if fresh:
             await state.storage.append(fresh)
+            # The new entry's own index is answered when it is applied.
+            self._cut(fresh[0].index + len(fresh))
             state.log.extend(fresh)
         match_index = previous + len(request.entries)
         state.commit_to(min(request.commit_index, match_index))
--- a/verbenathread/consensus/replica.py
+++ b/verbenathread/consensus/replica.py
@@ -68,7 +68,7 @@
             state, transport, self._tasks, self._leader.lead
         )
         self._changes = MemberChanges(state, transport, self._leader)
-        follower = Follower(state)
+        follower = Follower(state, self._applier.abandon_from)
         self._follower = follower
         self._receiver = SnapshotReceiver(state, follower, self._applier)
         self._running = False
@@ -297,4 +297,4 @@
         self._running = False
         self._tasks.cancel()
         self._state.follow('')
-        self._applier.abandon()
+        self._applier.abandon_from(0)
