--- a/tools/control_cost.py
+++ b/tools/control_cost.py
@@ -6,7 +6,9 @@
 
 import argparse
 import asyncio
+import re
 import statistics
+import subprocess
 import sys
 import tempfile
 import time
@@ -23,7 +25,7 @@
     ControlGroup,
     NodeSession,
 )
-from tools.processes import Processes, loopback_bytes, running
+from tools.processes import Processes, running
 from verbenathread.clock import MS_PER_SECOND
 from verbenathread.schema import commands_pb2, control_pb2
 from verbenathread.schema.control_grpc import ControlStub
@@ -36,28 +38,29 @@
 _MEMORY_CLAIMS = 10_000
 _BRANCHES = (10, 100, 570)
 _STORED_BYTES = 500
-_NODE_MS = 1000
+_THOUSAND = 1000
+_BYTES = re.compile(r'\bbytes_(?:sent|received):(\d+)')
 
 
 class Cost(NamedTuple):
     """What one step took over all three control processes."""
 
     cpu_ms: float
-    loopback_bytes: int
+    carried: int
     elapsed_ms: float
 
 
 async def measure(
-    processes: Processes, step: Callable[[], Awaitable[None]]
+    group: ControlGroup, step: Callable[[], Awaitable[None]]
 ) -> Cost:
     """Run ``step`` and return what the control processes spent on it."""
     started = time.monotonic()
-    cpu = total_cpu(processes)
-    sent = loopback_bytes()
+    cpu = total_cpu(group.processes)
+    sent = total_bytes(group)
     await step()
     return Cost(
-        total_cpu(processes) - cpu,
-        loopback_bytes() - sent,
+        total_cpu(group.processes) - cpu,
+        total_bytes(group) - sent,
         (time.monotonic() - started) * MS_PER_SECOND,
     )
 
@@ -67,13 +70,28 @@
     return sum(one.cpu_ms() for one in processes.by_name.values())
 
 
+def total_bytes(group: ControlGroup) -> int:
+    """Return the bytes that open connections to the group have carried.
+
+    The kernel's own counters, as ``ss`` shows them, both directions.
+    """
+    ports = [address.port for address in group.address_by_name.values()]
+    chosen = ' or '.join(f'sport = :{port}' for port in ports)
+    shown = subprocess.run(
+        ['ss', '-tinH', f'( {chosen} )'],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    return sum(int(count) for count in _BYTES.findall(shown.stdout))
+
+
 class Bench:
     """One group with a number of sessions."""
 
-    def __init__(self, group: ControlGroup, processes: Processes) -> None:
+    def __init__(self, group: ControlGroup) -> None:
         """Measure ``group``."""
         self.group = group
-        self.processes = processes
         self.client = group.client()
         self.nodes: list[NodeSession] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -95,9 +113,9 @@
         self.open_sessions(count)
         await asyncio.sleep(1)
         self.delays.clear()
-        idle = await measure(self.processes, self.idle)
-        changes = await measure(self.processes, self.change_often)
-        claims = await measure(self.processes, self.claim_often)
+        idle = await measure(self.group, self.idle)
+        changes = await measure(self.group, self.change_often)
+        claims = await measure(self.group, self.claim_often)
         report(count, self.delays, idle, changes, claims)
 
     async def idle(self) -> None:
@@ -174,7 +192,7 @@
 async def run_group(folder: Path) -> None:
     """Measure one group with more and more sessions."""
     with running(folder) as processes:
-        bench = Bench(ControlGroup(processes, records=1000), processes)
+        bench = Bench(ControlGroup(processes, records=1000))
         await bench.client.change('/other', '', 0)
         counts = list(_SESSIONS)
         while counts:
@@ -192,7 +210,7 @@
 ) -> None:
     """Write the figures of one number of sessions."""
     cpu_rate = idle.cpu_ms / idle.elapsed_ms
-    byte_rate = idle.loopback_bytes / idle.elapsed_ms * MS_PER_SECOND
+    byte_rate = idle.carried / idle.elapsed_ms * MS_PER_SECOND
     delays = sorted(delays)
     worst = delays[int(len(delays) * 0.99)]
     write(
@@ -215,7 +233,7 @@
 def net_bytes(cost: Cost, byte_rate: float) -> float:
     """Return bytes beyond what idling would have sent."""
     idle = byte_rate * cost.elapsed_ms / MS_PER_SECOND
-    return max(0, cost.loopback_bytes - idle)
+    return max(0, cost.carried - idle)
 
 
 def run_memory() -> None:
@@ -235,7 +253,7 @@
             commands_pb2.Command(settle=settle).SerializeToString(),
         )
     grown = own_resident() - before
-    per_thousand = _MEMORY_CLAIMS / _NODE_MS
+    per_thousand = _MEMORY_CLAIMS / _THOUSAND
     image = len(log.machine.snapshot())
     write(
         f'1,000 settled claims with {_STORED_BYTES} B answers: '
@@ -249,11 +267,9 @@
 def change_cost(branches: int) -> None:
     """Write what applying one change costs in a tree of ``branches``."""
     log = Log()
-    before = own_resident()
     for number in range(branches):
         text = account_text(1, f'a{number}')
         log.apply(change(f'{number}', text, 0, path=f'/team{number}'))
-    grown = own_resident() - before
     started = time.process_time()
     count = 10
     for number in range(count):
@@ -263,12 +279,12 @@
         log.apply(change(f'again-{number}', text, revision, path=path))
     spent = (time.process_time() - started) * MS_PER_SECOND / count
     started = time.process_time()
-    log.machine.snapshot()
+    image = len(log.machine.snapshot())
     snapshot = (time.process_time() - started) * MS_PER_SECOND
     write(
         f'{branches} branches of one account: {spent:.1f} ms cpu to apply a '
-        f'change, {snapshot:.1f} ms for a snapshot, {grown / 1024:.0f} KiB '
-        'resident with their audit'
+        f'change, {snapshot:.1f} ms for a snapshot of '
+        f'{image / 1024:.0f} KiB'
     )
 
 
