--- a/verbenathread/entry/ledger_host.py
+++ b/verbenathread/entry/ledger_host.py
@@ -106,16 +106,13 @@
             )
         return await engine.reserve(request)
 
-    def update(self, updates: peer_pb2.HoldUpdates) -> tuple[UpstreamId, ...]:
-        """Take progress and releases; return the engines not owned here."""
-        not_owned = []
-        for update in updates.updates:
-            engine = self._engine_by_id.get(update.upstream_id)
-            if engine is None:
-                not_owned.append(update.upstream_id)
-                continue
-            engine.update(update)
-        return tuple(not_owned)
+    def update(self, update: peer_pb2.HoldUpdate) -> bool:
+        """Take progress or a release; False if the engine is not owned."""
+        engine = self.engine(update.upstream_id)
+        if engine is None:
+            return False
+        engine.update(update)
+        return True
 
     def reports(self) -> tuple[EngineReport, ...]:
         """Return the load of every engine that is owned here."""
@@ -136,13 +133,12 @@
             await asyncio.sleep(seconds(_STEP_MS))
 
     def _follow_terms(self) -> None:
-        leases = self._cell.engine_leases
+        term_by_id = self._cell.engine_leases.held_terms()
         for owned_id, owned_term in tuple(self._term_by_id.items()):
-            if leases.term(owned_id) != owned_term:
+            if term_by_id.get(owned_id) != owned_term:
                 self._lose(owned_id)
-        for engine_id in self._cell.engine_ids():
-            term = leases.term(engine_id)
-            if term and engine_id not in self._term_by_id:
+        for engine_id, term in term_by_id.items():
+            if engine_id not in self._term_by_id:
                 self._term_by_id[engine_id] = term
                 self._spawn(self._take_over(engine_id, term))
 
--- a/verbenathread/entry/peers.py
+++ b/verbenathread/entry/peers.py
@@ -63,17 +63,6 @@
         if request is not None:
             await stream.send_message(await self._host.reserve(request))
 
-    async def UpdateHolds(  # noqa: N802 - the name in the schema
-        self, stream: Stream[peer_pb2.HoldUpdates, peer_pb2.HoldUpdatesReply]
-    ) -> None:
-        """Take progress and releases."""
-        request = await stream.recv_message()
-        if request is not None:
-            not_owned = self._host.update(request)
-            await stream.send_message(
-                peer_pb2.HoldUpdatesReply(not_owned=not_owned)
-            )
-
     async def Holdings(  # noqa: N802 - the name in the schema
         self, stream: Stream[peer_pb2.HoldingsRequest, peer_pb2.HoldingsReply]
     ) -> None:
@@ -123,7 +112,9 @@
 def bound_socket(address: Address) -> socket.socket:
     """Return a socket bound to an address; port 0 takes any free port."""
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # The event loop turns Nagle's algorithm off only for sockets that name
+    # TCP, and accepted ones take this from the listener.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(tuple(address))
     return listener
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -21,6 +21,8 @@
     long_prefills: int = 0
     # Waiting that makes a request one class more urgent; 0 is no ageing.
     ageing: Millis = 0
+    # Protect the oldest long ask; others pass if they do not delay it.
+    backfill: bool = False
     # Order between accounts by weighted fair shares.
     fair_shares: bool = False
     # Keep long prompts on their own share of the engines.
@@ -33,10 +35,22 @@
     refuse_late: bool = True
     # Weigh cached prefixes when an engine is chosen.
     affinity: bool = False
+    # Look for another engine after this share of the wait that was expected;
+    # 0 is never.
+    look_again: float = 0
+    # Time that a long prompt must have, as a multiple of what is expected.
+    long_margin: float = 1
     # Ask the next engine when the first one's wait is over this; 0 is never.
     second_ask: Millis = 0
 
 
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
-CURRENT = PREVIOUS._replace(by_size=True)
+_PATIENCE: Millis = 50
+CURRENT = PREVIOUS._replace(
+    by_size=True,
+    second_ask=_PATIENCE,
+    backfill=True,
+    look_again=1.5,
+    long_margin=1.5,
+)
