Keep claims serialised, and count the syncs of a change

Cause: 1,000 settled claims with 500 B answers took 2.2 MiB as messages, so a table at its bound of 48 MiB would have passed the 128 MB of a node. Ruled out: to keep fewer claims only, which would shorten their retention. The replies moved to a module of their own.

--- a/tests/test_control_claims.py
+++ b/tests/test_control_claims.py
@@ -12,7 +12,8 @@
 )
 
 from tests.control_commands import Log
-from verbenathread.control.claims import MOST_ANSWER_BYTES, ClaimTable
+from verbenathread.control.claim_replies import MOST_ANSWER_BYTES
+from verbenathread.control.claims import ClaimTable
 from verbenathread.schema import commands_pb2, control_pb2
 
 HELD = control_pb2.CLAIM_HELD
--- a/tools/control_cost.py
+++ b/tools/control_cost.py
@@ -15,9 +15,11 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import NamedTuple
+from unittest import mock
 
 from grpclib.client import Channel
 
+from tests.consensus_network import Group
 from tests.control_commands import Log, account_text, change
 from tests.control_processes import (
     CLUSTER,
@@ -25,8 +27,11 @@
     ControlGroup,
     NodeSession,
 )
+from tests.virtual_loop import run_virtual
 from tools.processes import Processes, running
-from verbenathread.clock import MS_PER_SECOND
+from verbenathread.clock import MS_PER_SECOND, SystemClock
+from verbenathread.control.machine import ControlMachine
+from verbenathread.control.proposals import Proposals
 from verbenathread.schema import commands_pb2, control_pb2
 from verbenathread.schema.control_grpc import ControlStub
 from verbenathread.settings.node import parse_address
@@ -288,6 +293,37 @@
     )
 
 
+async def count_syncs() -> None:
+    """Write the syncs of one change, one after another, over a group."""
+    with mock.patch('tests.consensus_network.ListMachine', ControlMachine):
+        async with Group() as group:
+            leader = await group.leader()
+            machine = group.machine_by_id[leader]
+            proposals = Proposals(
+                group.replicas[leader], machine, SystemClock()
+            )
+            before = syncs_by_node(group)
+            revision = 0
+            left = _CHANGES
+            while left:
+                left -= 1
+                command = change(f'{left}', account_text(left + 1), revision)
+                reply = await proposals.change(command.change)
+                revision = reply.revision
+            after = syncs_by_node(group)
+    each = [(after[node_id] - before[node_id]) / _CHANGES for node_id in before]
+    shown = ', '.join(f'{count:.2f}' for count in each)
+    write(f'syncs per change on each of three nodes: {shown}')
+
+
+def syncs_by_node(group: Group) -> dict[str, int]:
+    """Return the syncs of each replica so far."""
+    return {
+        node_id: replica.status().sync_count
+        for node_id, replica in group.replicas.items()
+    }
+
+
 def own_resident() -> int:
     """Return the resident memory of this process in bytes."""
     pages = int(Path('/proc/self/statm').read_text().split()[1])
@@ -306,6 +342,7 @@
     parser.add_argument('--memory', action='store_true')
     options = parser.parse_args()
     run_memory()
+    run_virtual(count_syncs())
     if not options.memory:
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(run_group(Path(folder)))
--- a/verbenathread/control/claims.py
+++ b/verbenathread/control/claims.py
@@ -8,9 +8,19 @@
 """
 
 import heapq
+import sys
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from verbenathread.control.claim_replies import (
+    ASK_AGAIN,
+    bounded,
+    claim_reply,
+    refused,
+    settled,
+    settled_again,
+    table_full,
+)
 from verbenathread.schema import commands_pb2, control_pb2
 
 _COMPLETED = control_pb2.CLAIM_COMPLETED
@@ -20,14 +30,12 @@
 _NOT_RUN = control_pb2.CLAIM_NOT_RUN
 _OUTCOME_UNKNOWN = control_pb2.CLAIM_OUTCOME_UNKNOWN
 
-MOST_ANSWER_BYTES = 65_536
-MOST_TABLE_BYTES = 50_331_648
+MOST_TABLE_BYTES = 33_554_432
 MOST_KEY_BYTES = 255
 MOST_ENDED_ATTEMPTS = 16
 _LONGEST_LIMIT = 3_600_000
 _LEAST_RETENTION = 60_000
 _LONGEST_RETENTION = 2_592_000_000
-_ASK_AGAIN = 1000
 _MS_PER_SECOND = 1000
 _SETTLED_STATES = frozenset((_COMPLETED, _NOT_RUN, _OUTCOME_UNKNOWN))
 
@@ -54,7 +62,8 @@
         """Keep at most ``most_bytes`` of claims and stored answers."""
         self._most_bytes = most_bytes
         self._bytes = 0
-        self._claim_by_key: dict[ClaimKey, commands_pb2.ClaimImage] = {}
+        # Serialised, since a message takes three times the memory.
+        self._claim_by_key: dict[ClaimKey, bytes] = {}
         self._held_by_owner: dict[Owner, set[ClaimKey]] = {}
         self._incarnation_by_node: dict[str, int] = {}
         # (wall time to forget at, key); entries that moved are stale.
@@ -76,48 +85,48 @@
         if refusal is not None:
             return refusal
         key = _key_of(request)
-        claim = self._claim_by_key.get(key)
+        claim = self._get(key)
         if claim is None:
             return self._open(request, now, ())
         if claim.body_sha256 != request.body_sha256:
-            return _reply(_MISMATCH)
+            return claim_reply(_MISMATCH)
         self._lapse(key, claim, now)
         if claim.state == _NOT_RUN:
             if _ended(claim, request.attempt_id) is not None:
-                return _reply(_NOT_RUN)
+                return claim_reply(_NOT_RUN)
             return self._open(request, now, claim.ended_attempts)
         if claim.state == _HELD:
             return self._answer_held(claim, request, now)
-        return _reply(claim.state, claim.stored)
+        return claim_reply(claim.state, claim.stored)
 
     def settle(
         self, request: control_pb2.SettleRequest, now: int
     ) -> control_pb2.SettleReply:
         """Record the outcome of the attempt that holds the claim."""
         key = _key_of(request)
-        claim = self._claim_by_key.get(key)
+        claim = self._get(key)
         if claim is None:
-            return _settled(
+            return settled(
                 control_pb2.NOT_FOUND,
                 'the claim is not known or was forgotten; claim it first',
             )
         if request.state not in _SETTLED_STATES:
-            return _settled(
+            return settled(
                 control_pb2.INVALID,
                 'the outcome must be completed, not run or unknown',
             )
         ended = _ended(claim, request.attempt_id)
         if ended is None and claim.attempt_id != request.attempt_id:
-            return _settled(
+            return settled(
                 control_pb2.CONFLICT,
                 'another attempt holds this claim; do not send the call',
             )
         self._lapse(key, claim, now)
         stands = claim.state if ended is None else ended
         if stands not in {_HELD, _OUTCOME_UNKNOWN}:
-            return _settled_again(stands, request.state)
+            return settled_again(stands, request.state)
         self._settle(key, claim, request, now)
-        return _settled(control_pb2.OK, '')
+        return settled(control_pb2.OK, '')
 
     def owner_gone(self, gone: commands_pb2.OwnerGone) -> int:
         """Turn the claims of a gone owner to unknown; return how many."""
@@ -130,23 +139,28 @@
             keys = self._held_by_owner.pop(owner)
             turned += len(keys)
             for key in keys:
-                self._claim_by_key[key].state = _OUTCOME_UNKNOWN
+                claim = self._get(key)
+                if claim is not None:
+                    claim.state = _OUTCOME_UNKNOWN
+                    self._put(key, claim)
         return turned
 
     def forget(self, now: int) -> None:
         """Drop the claims whose retention is over."""
         while self._forget_queue and self._forget_queue[0][0] <= now:
             moment, key = heapq.heappop(self._forget_queue)
-            claim = self._claim_by_key.get(key)
+            claim = self._get(key)
             if claim is None or claim.forget_ms != moment:
                 continue
             self._release(key, claim)
-            self._bytes -= claim.ByteSize()
-            self._claim_by_key.pop(key)
+            self._bytes -= len(self._claim_by_key.pop(key))
 
     def images(self) -> Iterable[commands_pb2.ClaimImage]:
         """Return the claims for a snapshot, sorted by key."""
-        return [claim for _, claim in sorted(self._claim_by_key.items())]
+        return [
+            commands_pb2.ClaimImage.FromString(serialised)
+            for _, serialised in sorted(self._claim_by_key.items())
+        ]
 
     def owner_images(self) -> Iterable[commands_pb2.OwnerImage]:
         """Return the greatest incarnation of each node, sorted."""
@@ -163,15 +177,16 @@
         owners: Iterable[commands_pb2.OwnerImage],
     ) -> None:
         """Replace the table by what a snapshot holds."""
-        self._claim_by_key = {_key_of(claim): claim for claim in claims}
+        self._claim_by_key = {}
         self._incarnation_by_node = {
             owner.node_id: owner.incarnation for owner in owners
         }
         self._held_by_owner = {}
         self._bytes = 0
         self._forget_queue = []
-        for key, claim in self._claim_by_key.items():
-            self._bytes += claim.ByteSize()
+        for claim in claims:
+            key = _key_of(claim)
+            self._put(key, claim)
             self._forget_queue.append((claim.forget_ms, key))
             if claim.state == _HELD:
                 self._hold(key, claim)
@@ -181,15 +196,15 @@
         self, request: control_pb2.ClaimRequest
     ) -> control_pb2.ClaimReply | None:
         if not request.attempt_id or not request.idempotency_key:
-            return _refused('a claim needs an idempotency key and an attempt')
+            return refused('a claim needs an idempotency key and an attempt')
         if len(request.idempotency_key.encode()) > MOST_KEY_BYTES:
-            return _refused(
+            return refused(
                 f'the idempotency key is over {MOST_KEY_BYTES} bytes; '
                 + 'send a shorter one'
             )
         newest = self._incarnation_by_node.get(request.node_id, 0)
         if request.node_incarnation < newest:
-            return _refused('this run of the node was replaced; restart it')
+            return refused('this run of the node was replaced; restart it')
         self._replace(request.node_id, request.node_incarnation)
         return None
 
@@ -225,17 +240,13 @@
             ended_attempts=ended,
         )
         key = _key_of(request)
-        earlier = self._claim_by_key.get(key)
-        growth = claim.ByteSize()
-        if earlier is not None:
-            growth -= earlier.ByteSize()
-        if self._bytes + growth > self._most_bytes:
-            return _full()
-        self._bytes += growth
-        self._claim_by_key[key] = claim
+        earlier = len(self._claim_by_key.get(key, b''))
+        if self._bytes + claim.ByteSize() - earlier > self._most_bytes:
+            return table_full()
+        self._put(key, claim)
         self._hold(key, claim)
         heapq.heappush(self._forget_queue, (claim.forget_ms, key))
-        return _reply(_HELD)
+        return claim_reply(_HELD)
 
     def _answer_held(
         self,
@@ -250,9 +261,9 @@
         )
         if same_attempt:
             # The first answer may have been lost on its way.
-            return _reply(_HELD)
-        reply = _reply(_IN_PROGRESS)
-        reply.retry_after_ms = min(max(1, claim.lapses_ms - now), _ASK_AGAIN)
+            return claim_reply(_HELD)
+        reply = claim_reply(_IN_PROGRESS)
+        reply.retry_after_ms = min(max(1, claim.lapses_ms - now), ASK_AGAIN)
         return reply
 
     def _settle(
@@ -263,15 +274,16 @@
         now: int,
     ) -> None:
         self._release(key, claim)
-        self._bytes -= claim.ByteSize()
         claim.state = request.state
-        claim.forget_ms = max(now, claim.lapses_ms) + claim.retention_ms
+        forget_ms = max(now, claim.lapses_ms) + claim.retention_ms
+        if forget_ms != claim.forget_ms:
+            claim.forget_ms = forget_ms
+            heapq.heappush(self._forget_queue, (forget_ms, key))
         if request.state == _COMPLETED:
-            claim.stored.CopyFrom(_bounded(request.stored))
+            claim.stored.CopyFrom(bounded(request.stored))
         if request.state == _NOT_RUN:
             _end_attempt(claim, request.attempt_id)
-        self._bytes += claim.ByteSize()
-        heapq.heappush(self._forget_queue, (claim.forget_ms, key))
+        self._put(key, claim)
 
     def _lapse(
         self, key: ClaimKey, claim: commands_pb2.ClaimImage, now: int
@@ -279,6 +291,18 @@
         if claim.state == _HELD and now > claim.lapses_ms:
             self._release(key, claim)
             claim.state = _OUTCOME_UNKNOWN
+            self._put(key, claim)
+
+    def _get(self, key: ClaimKey) -> commands_pb2.ClaimImage | None:
+        serialised = self._claim_by_key.get(key)
+        if serialised is None:
+            return None
+        return commands_pb2.ClaimImage.FromString(serialised)
+
+    def _put(self, key: ClaimKey, claim: commands_pb2.ClaimImage) -> None:
+        serialised = claim.SerializeToString(deterministic=True)
+        self._bytes += len(serialised) - len(self._claim_by_key.get(key, b''))
+        self._claim_by_key[key] = serialised
 
     def _hold(self, key: ClaimKey, claim: commands_pb2.ClaimImage) -> None:
         self._held_by_owner.setdefault(_owner_of(claim), set()).add(key)
@@ -300,7 +324,12 @@
         | commands_pb2.ClaimImage
     ),
 ) -> ClaimKey:
-    return ClaimKey(source.account, source.service, source.idempotency_key)
+    # Accounts and services are few, so their names are kept once.
+    return ClaimKey(
+        sys.intern(source.account),
+        sys.intern(source.service),
+        source.idempotency_key,
+    )
 
 
 def _owner_of(claim: commands_pb2.ClaimImage) -> Owner:
@@ -327,56 +356,3 @@
     claim.ClearField('ended_attempts')
     # A sender that gave up so many attempts ago is not heard again.
     claim.ended_attempts.extend(ended[-MOST_ENDED_ATTEMPTS:])
-
-
-def _bounded(stored: control_pb2.StoredAnswer) -> control_pb2.StoredAnswer:
-    if len(stored.body) <= MOST_ANSWER_BYTES:
-        return stored
-    return control_pb2.StoredAnswer(
-        status=stored.status,
-        content_type=stored.content_type,
-        body_omitted=True,
-    )
-
-
-def _reply(
-    state: control_pb2.ClaimState,
-    stored: control_pb2.StoredAnswer | None = None,
-) -> control_pb2.ClaimReply:
-    return control_pb2.ClaimReply(
-        answer=control_pb2.Answer(code=control_pb2.OK),
-        state=state,
-        stored=stored if state == _COMPLETED else None,
-    )
-
-
-def _refused(message: str) -> control_pb2.ClaimReply:
-    return control_pb2.ClaimReply(
-        answer=control_pb2.Answer(code=control_pb2.INVALID, message=message)
-    )
-
-
-def _full() -> control_pb2.ClaimReply:
-    return control_pb2.ClaimReply(
-        answer=control_pb2.Answer(
-            code=control_pb2.NO_QUORUM,
-            message='the claim table is full; lower claim_retention',
-            retry_after_ms=_ASK_AGAIN,
-        )
-    )
-
-
-def _settled(code: control_pb2.Code, message: str) -> control_pb2.SettleReply:
-    return control_pb2.SettleReply(
-        answer=control_pb2.Answer(code=code, message=message)
-    )
-
-
-def _settled_again(
-    stands: control_pb2.ClaimState, asked: control_pb2.ClaimState
-) -> control_pb2.SettleReply:
-    if stands == asked:
-        return _settled(control_pb2.OK, '')
-    return _settled(
-        control_pb2.CONFLICT, 'the attempt was settled with another outcome'
-    )
