Ask each engine of a group for its share, and settle before the answer

Cause: the demo: a prompt of 900,000 tokens was refused by its group, since the whole group's memory was asked of one engine; a booking sent again right after its answer was told that it still runs. Ruled out: holding an answer until its outcome is recorded; one bounded try of 250 ms comes first, later ones in the background. Conclusion: shares are equal, as scheduling.groups reserves them.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -119,6 +119,8 @@
         # While set, reserve() waits: the queue of an engine.
         self.full = threading.Event()
         self.abandoned = set()
+        # While set, every ready engine together, for this much memory.
+        self.group_tokens = 0
         self.changed = threading.Condition()
 
     def reserve(self, work, attempt_id):
@@ -142,11 +144,15 @@
                     RefusalReason.NO_UPSTREAM, 'No engine is ready.', 1000
                 )
             chosen = ready[next(self.turns) % len(ready)]
+            chosen_ids = (chosen.upstream_id,)
+            if self.group_tokens:
+                chosen_ids = tuple(record.upstream_id for record in ready)
             granted = Reservation(
                 attempt_id,
                 attempt_id,
-                (chosen.upstream_id,),
-                work.prompt_tokens + work.expected_output_tokens,
+                chosen_ids,
+                self.group_tokens
+                or work.prompt_tokens + work.expected_output_tokens,
                 SystemClock().now() + 2000,
                 0,
             )
@@ -177,8 +183,8 @@
     def reserve(self, work, attempt_id):
         granted = super().reserve(work, attempt_id)
         if isinstance(granted, Reservation):
-            self.failed_engines_by_request[work.request_id].add(
-                granted.upstream_ids[0]
+            self.failed_engines_by_request[work.request_id].update(
+                granted.upstream_ids
             )
         return granted
 
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -29,6 +29,8 @@
 class FakeFabric:
     """Neighbours in memory; counts its stops."""
 
+    incarnation = 1
+
     def __init__(self):
         upstreams = FakeUpstreams()
         self.ports = Ports(
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -183,6 +183,22 @@
                 self.assertEqual(engine.state.holds(f'attempt-{number}'), kept)
 
 
+class GroupTest(RelayCase):
+    def test_each_engine_of_a_group_is_asked_for_its_share(self):
+        engines = [self.engine('--die-at', '7'), self.engine()]
+        # More than either engine has.
+        fake = self.entry.reservations
+        fake.group_tokens = 600_000
+        error = self.complete().json()['error']
+        self.assertEqual(error['code'], 'no_upstream')
+        self.assertEqual(error['run_state'], 'may_have_run')
+        self.assertEqual(engines[0].state.generated, 7)
+        # The broken attempt was cancelled at both.
+        self.assert_nothing_held(*engines)
+        for engine in engines:
+            self.assertTrue(engine.state.cancelled)
+
+
 class CallerGoneTest(RelayCase):
     def test_gone_while_streaming(self):
         engine = self.engine('--decode-rate', '20')
--- a/verbenathread/entry/engine_client.py
+++ b/verbenathread/entry/engine_client.py
@@ -27,7 +27,7 @@
     max_tokens: int
     priority: int
     owner: Owner
-    # KV cache in tokens that was reserved.
+    # KV cache in tokens that was reserved on the engine asked.
     memory_tokens: int
     # Engines that hold parts of the KV cache beside the one asked.
     group: tuple[str, ...]
--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -224,7 +224,8 @@
             request.work.most_output_tokens,
             reservation.priority,
             self._ports.owner,
-            reservation.memory_tokens,
+            # Each engine of a group holds an equal share.
+            -(-reservation.memory_tokens // len(engines)),
             tuple(str(engine.address) for engine in engines[1:]),
             self._position,
             ''.join(self._texts),
--- a/verbenathread/entry/settler.py
+++ b/verbenathread/entry/settler.py
@@ -13,6 +13,7 @@
 
 # Times in ms.
 _CALL_TIMEOUT = 2000
+_FIRST_TIMEOUT = 250
 _FIRST_WAIT = 50
 _LONGEST_WAIT = 5000
 # Most outcomes kept while control is away; their claims turn to unknown.
@@ -74,12 +75,18 @@
     def settle(
         self, request: control_pb2.SettleRequest, keep_for: Millis
     ) -> None:
-        """Record an outcome, trying for ``keep_for`` ms; returns at once."""
+        """Record an outcome, trying for ``keep_for`` ms.
+
+        The first try is made here and bounded, so that a caller who sends the
+        call again finds the outcome; later ones are made by the thread.
+        """
+        until = self._clock.now() + keep_for
+        if self._try(_Pending(request, until), _FIRST_TIMEOUT):
+            return
         with self._changed:
             if len(self._pending) >= _MOST_PENDING:
                 _log.error('Too many outcomes are not recorded; one is lost.')
                 return
-            until = self._clock.now() + keep_for
             self._pending.append(_Pending(request, until))
             self._changed.notify_all()
 
@@ -92,7 +99,7 @@
                 if self._stopping:
                     return
                 pending = self._pending[0]
-            if self._try(pending):
+            if self._try(pending, _CALL_TIMEOUT):
                 wait = _FIRST_WAIT
                 self._done()
                 continue
@@ -100,12 +107,12 @@
                 self._changed.wait(seconds(wait))
             wait = min(wait * 2, _LONGEST_WAIT)
 
-    def _try(self, pending: _Pending) -> bool:
+    def _try(self, pending: _Pending, limit: Millis) -> bool:
         if self._clock.now() > pending.until:
             _log.warning('An outcome could not be recorded in time.')
             return True
         try:
-            reply = self._claims.settle(pending.request, _CALL_TIMEOUT)
+            reply = self._claims.settle(pending.request, limit)
         except (VerbenathreadError, OSError):
             return False
         except Exception:
