Carry asks for memory on one stream between two entries

A unary call spends most of its processor time on three blocks of headers. Ruled out: riding on the messages of the cell, whose one reply at a time would hold an answer up behind another. A send is never cancelled midway, since that would garble what follows on the stream.

--- a/verbenathread/entry/peer_channels.py
+++ b/verbenathread/entry/peer_channels.py
@@ -10,6 +10,7 @@
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 
 from verbenathread.clock import seconds
+from verbenathread.entry.ask_stream import AskStream
 from verbenathread.entry.node_access import NodeAccess
 from verbenathread.membership.cell import PeerUnreachableError
 from verbenathread.schema import peer_grpc, peer_pb2
@@ -26,6 +27,9 @@
 # A connection that failed this often in a row is replaced.
 _FAILURES_PER_CONNECTION = 2
 
+_AskStream = grpclib.client.Stream[
+    peer_pb2.ReserveRequest, peer_pb2.ReserveReply
+]
 _LinkStream = grpclib.client.Stream[peer_pb2.PeerMessage, peer_pb2.PeerReply]
 
 
@@ -39,6 +43,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._stream: _LinkStream | None = None
         self._failures = 0
+        self.asks = AskStream(self._open_asks)
 
     def stub(self) -> peer_grpc.PeerStub:
         """Return a stub over the channel, made anew if there is none."""
@@ -78,11 +83,15 @@
 
     def close(self) -> None:
         """Close the connection; the next call makes a new one."""
+        self.asks.close()
         if self._channel is not None:
             self._channel.close()
         self._channel = None
         self._failures = 0
 
+    def _open_asks(self) -> _AskStream:
+        return self.stub().Reserve.open(metadata=self._access.metadata)
+
 
 class PeerCalls(Protocol):
     """Calls to the other entries; each raises PeerUnreachableError."""
@@ -147,14 +156,10 @@
         self, peer_id: NodeId, request: peer_pb2.ReserveRequest, limit: Millis
     ) -> peer_pb2.ReserveReply:
         """Ask the owner of an engine for memory; ends with the caller."""
-        return await self._call(
-            peer_id,
-            lambda stub: stub.Reserve(
-                request,
-                timeout=seconds(limit),
-                metadata=self._access.metadata,
-            ),
-        )
+        try:
+            return await self._channel_by_id[peer_id].asks.ask(request, limit)
+        except (OSError, TimeoutError) as error:
+            raise _unreachable(peer_id, error) from None
 
     async def holdings(
         self, peer_id: NodeId, request: peer_pb2.HoldingsRequest, limit: Millis
--- a/verbenathread/entry/peers.py
+++ b/verbenathread/entry/peers.py
@@ -7,6 +7,7 @@
 import grpclib
 from grpclib.server import Server, Stream
 
+from verbenathread.entry.ask_stream import AskServer
 from verbenathread.entry.ledger_host import LedgerHost
 from verbenathread.entry.node_access import NodeAccess
 from verbenathread.entry.shared import SharedTree
@@ -58,10 +59,8 @@
     async def Reserve(  # noqa: N802 - the name in the schema
         self, stream: Stream[peer_pb2.ReserveRequest, peer_pb2.ReserveReply]
     ) -> None:
-        """Wait for memory; the wait ends when the caller leaves."""
-        request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(await self._host.reserve(request))
+        """Answer asks for memory; every wait ends with the stream."""
+        await AskServer(self._host, stream).serve()
 
     async def Holdings(  # noqa: N802 - the name in the schema
         self, stream: Stream[peer_pb2.HoldingsRequest, peer_pb2.HoldingsReply]
--- a/verbenathread/schema/peer_grpc.py
+++ b/verbenathread/schema/peer_grpc.py
@@ -41,7 +41,7 @@
             ),
             '/verbenathread.schema.Peer/Reserve': grpclib.const.Handler(
                 self.Reserve,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 verbenathread.schema.peer_pb2.ReserveRequest,
                 verbenathread.schema.peer_pb2.ReserveReply,
             ),
@@ -69,7 +69,7 @@
             verbenathread.schema.peer_pb2.PeerMessage,
             verbenathread.schema.peer_pb2.PeerReply,
         )
-        self.Reserve = grpclib.client.UnaryUnaryMethod(
+        self.Reserve = grpclib.client.StreamStreamMethod(
             channel,
             '/verbenathread.schema.Peer/Reserve',
             verbenathread.schema.peer_pb2.ReserveRequest,
