Renew the leases of a node together, and name a hold once on the wire

Each engine was renewed at its own moment, with a message to every peer. A renewal that is due now takes along all that are due within half an interval. A hold's identifier is worked out from engine and attempt. Ruled out: one lease for all engines of an entry, which would move them all together.

--- a/verbenathread/entry/hold_outbox.py
+++ b/verbenathread/entry/hold_outbox.py
@@ -12,6 +12,7 @@
 from verbenathread.clock import seconds
 from verbenathread.entry.ledger_host import LedgerHost
 from verbenathread.membership.cell import Cell
+from verbenathread.scheduling.holds import reservation_id
 from verbenathread.schema import peer_pb2
 from verbenathread.types import NodeId, UpstreamState
 
@@ -44,7 +45,7 @@
         """Send an update soon; it includes what an earlier one told."""
         self._number += 1
         pending = _Pending(update, self._number)
-        self._pending_by_id[update.reservation_id] = pending
+        self._pending_by_id[_key(update)] = pending
         self._push(pending)
 
     def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
@@ -96,12 +97,16 @@
         owner_id = self._owner(pending)
         record = self._cell.table.get(update.upstream_id)
         if record is None or record.state is UpstreamState.GONE:
-            self._pending_by_id.pop(update.reservation_id)
+            self._pending_by_id.pop(_key(update))
         elif owner_id == self._cell.identity.node_id:
             if self._host.update(update):
-                self._pending_by_id.pop(update.reservation_id)
+                self._pending_by_id.pop(_key(update))
         elif owner_id is not None and update.released:
             self._cell.wake(owner_id)
 
     def _owner(self, pending: _Pending) -> NodeId | None:
         return self._cell.engine_leases.owner(pending.update.upstream_id)
+
+
+def _key(update: peer_pb2.HoldUpdate) -> str:
+    return reservation_id(update.upstream_id, update.attempt_id)
--- a/verbenathread/entry/owned_engine.py
+++ b/verbenathread/entry/owned_engine.py
@@ -117,7 +117,9 @@
 
     def update(self, update: peer_pb2.HoldUpdate) -> None:
         """Take progress or a release from the entry that holds a grant."""
-        grant = self._grant_by_id.get(update.reservation_id)
+        grant = self._grant_by_id.get(
+            reservation_id(self.ledger.upstream_id, update.attempt_id)
+        )
         if grant is None:
             return
         grant.started = grant.started or update.started
--- a/verbenathread/entry/reservations.py
+++ b/verbenathread/entry/reservations.py
@@ -264,7 +264,6 @@
             told.CopyFrom(update)
             told.upstream_id = upstream_id
             told.attempt_id = reservation.attempt_id
-            told.reservation_id = f'{upstream_id}/{reservation.attempt_id}'
             self._outbox.put(told)
 
     def _candidates(self, service: str) -> _Candidates:
--- a/verbenathread/membership/engine_leases.py
+++ b/verbenathread/membership/engine_leases.py
@@ -164,10 +164,14 @@
         other nodes.
         """
         now = self._clock.now()
-        for upstream_id in upstream_ids:
-            state = self._state(upstream_id)
+        states = [self._state(upstream_id) for upstream_id in upstream_ids]
+        due_by = now
+        if any(state.act_at <= now < state.held_until for state in states):
+            # One message renews all that are due soon as well.
+            due_by += self.lease // _RENEWALS_PER_LEASE // 2
+        for state in states:
             if now < state.held_until:
-                self._keep(state, alive_ids, settled_ids)
+                self._keep(state, alive_ids, settled_ids, due_by)
             elif now >= state.act_at and self._node_id in alive_ids:
                 self._acquire(state, alive_ids)
 
@@ -238,6 +242,7 @@
         state: _Engine,
         alive_ids: frozenset[NodeId],
         settled_ids: Collection[NodeId],
+        due_by: Millis,
     ) -> None:
         now = self._clock.now()
         preferred = self._preferences.node(state.upstream_id, alive_ids)
@@ -245,7 +250,7 @@
             self._hand_back_at = now + _HAND_BACK_MS
             self.release(state.upstream_id)
             return
-        if now < state.act_at:
+        if state.act_at > due_by:
             return
         if state.life_by_node.keys() >= alive_ids:
             state.renews = True
