Grant the protected ask before those that would take its memory

Cause: a test with a steady stream of 90 k prompts showed a 300 k one passed for ever: when its memory was free at last, smaller asks came first in the order and took it. Ruled out: granting in order of age (short p95).

--- /dev/null
+++ b/tests/test_scheduling_choice.py
@@ -0,0 +1,169 @@
+"""Tests of the choice of engines, cached prefixes, estimates and weights."""
+
+import random
+import unittest
+from collections import Counter
+
+from tests.test_scheduling_ledger import make_work
+from verbenathread.replay.deployment import TILLERY, engine_records
+from verbenathread.replay.replay import default_policy
+from verbenathread.scheduling.candidates import CandidateWalk
+from verbenathread.scheduling.estimates import (
+    OutputEstimator,
+    PrefillCost,
+    TokenEstimator,
+)
+from verbenathread.scheduling.prefixes import (
+    CacheEvent,
+    PrefixIndex,
+    hash_prefixes,
+)
+from verbenathread.scheduling.router import Router
+from verbenathread.scheduling.weights import (
+    LOAD_WITHIN,
+    ModelNeed,
+    WantedLoad,
+    WeightLoadQueue,
+)
+
+
+def make_router(seed):
+    return Router(default_policy(), random.Random(seed))
+
+
+class RouterTest(unittest.TestCase):
+    def test_entries_with_equal_reports_do_not_herd(self):
+        records = engine_records(TILLERY)
+        chosen = Counter()
+        for seed in range(9):
+            router = make_router(seed)
+            for number in range(20):
+                work = make_work(f'r{number}', 3000)
+                first = router.choose(work, records, 0)[0]
+                router.note_sent(first, work, 0)
+                chosen[first] += 1
+        # 180 sends over 20 engines: 9 each if perfectly even.
+        self.assertEqual(len(chosen), 20)
+        self.assertLessEqual(max(chosen.values()), 18)
+
+    def test_looks_at_as_many_engines_of_any_fleet(self):
+        looked_at = set()
+        for engines in (20, 200, 4000):
+            records = engine_records(TILLERY._replace(engines=engines))
+            router = make_router(1)
+            router.choose(make_work('r', 3000), records, 0)
+            looked_at.add(router.looked_at)
+        self.assertEqual(len(looked_at), 1)
+
+    def test_passes_over_failed_engines(self):
+        records = engine_records(TILLERY._replace(engines=3))
+        router = make_router(1)
+        left = router.choose(
+            make_work('r', 3000), records, 0, {'e0000', 'e0002'}
+        )
+        self.assertEqual(left, ['e0001'])
+
+    def test_walk_waits_where_the_wait_is_least(self):
+        walk = CandidateWalk(('a', 'b', 'c'), 50)
+        self.assertEqual(walk.next(), 'a')
+        self.assertFalse(walk.stays('a', 900))
+        self.assertEqual(walk.next(), 'b')
+        self.assertFalse(walk.stays('b', 300))
+        # c refuses.
+        self.assertEqual(walk.next(), 'c')
+        self.assertEqual(walk.next(), 'b')
+        self.assertTrue(walk.stays('b', 300))
+        self.assertIsNone(CandidateWalk((), 50).next())
+
+
+class PrefixTest(unittest.TestCase):
+    def test_events(self):
+        first = CacheEvent(1, (11, 12), is_snapshot=True)
+        cases = {
+            'in order': ([first, CacheEvent(2, (13,))], 4096, True),
+            'removed': ([first, CacheEvent(2, (), (12,))], 1024, True),
+            'a gap drops all': ([first, CacheEvent(3, (13,))], 0, False),
+            'an old one is ignored': (
+                [first, CacheEvent(1, (13,))],
+                2048,
+                True,
+            ),
+            'nothing before a snapshot': ([CacheEvent(1, (11,))], 0, False),
+            'a snapshot after a gap': (
+                [first, CacheEvent(3), CacheEvent(4, (11,), is_snapshot=True)],
+                1024,
+                True,
+            ),
+        }
+        for name, (events, tokens, is_known) in cases.items():
+            with self.subTest(name):
+                index = PrefixIndex()
+                answers = [index.note('e1', event) for event in events]
+                self.assertEqual(answers[-1], is_known)
+                self.assertEqual(
+                    index.cached_tokens('e1', (11, 12, 13)), tokens
+                )
+
+    def test_equal_beginnings_share_their_hashes(self):
+        one = hash_prefixes(b'a' * 4096 + b'b' * 4096, 4)
+        other = hash_prefixes(b'a' * 4096 + b'c' * 4096, 4)
+        self.assertEqual(one[0], other[0])
+        self.assertNotEqual(one[1], other[1])
+
+
+class EstimateTest(unittest.TestCase):
+    def test_prefill_cost_finds_both_coefficients(self):
+        cost = PrefillCost()
+        rng = random.Random(1)
+        for _ in range(600):
+            tokens = rng.choice((2000, 20000, 80000, 300000))
+            busy = tokens * 0.1 + tokens * tokens / 1e6 * 0.2
+            cost.note_busy(int(busy), [tokens])
+        for tokens in (4000, 100000, 300000):
+            expected = tokens * 0.1 + tokens * tokens / 1e6 * 0.2
+            self.assertAlmostEqual(
+                cost.prefill(tokens) / expected, 1, delta=0.1
+            )
+
+    def test_output_follows_the_account_and_a_shift(self):
+        outputs = OutputEstimator()
+        rng = random.Random(1)
+        for mean in (100, 800):
+            for _ in range(400):
+                outputs.note('a', 's', int(rng.uniform(0.5, 1.5) * mean))
+            expected = outputs.expected('a', 's', 4096)
+            self.assertGreater(expected, mean)
+            self.assertLess(expected, mean * 1.6)
+        self.assertEqual(outputs.expected('a', 's', 50), 50)
+
+    def test_bytes_per_token_are_learned(self):
+        tokens = TokenEstimator()
+        self.assertEqual(tokens.tokens('s', 4000, 4), 1000)
+        for _ in range(300):
+            tokens.note('s', 3000, 1000, 4)
+        self.assertAlmostEqual(tokens.tokens('s', 3000, 4), 1000, delta=20)
+
+
+class WeightTest(unittest.TestCase):
+    def test_a_restart_storm_loads_what_is_needed_first(self):
+        queue = WeightLoadQueue(2)
+        need = {'big': ModelNeed(90, 0), 'small': ModelNeed(10, 0)}
+        for number in range(10):
+            model = 'small' if number == 9 else 'big'
+            queue.want(WantedLoad(f'e{number}', model))
+        begun = queue.start(need, 0)
+        # Each model gets its first engine before any gets its second.
+        self.assertEqual([load.model for load in begun], ['big', 'small'])
+        self.assertEqual(queue.start(need, 0), [])
+        queue.done(begun[0])
+        self.assertEqual(len(queue.start(need, 0)), 1)
+
+    def test_a_lost_load_is_queued_again(self):
+        queue = WeightLoadQueue(1)
+        lost = WantedLoad('e1', 'm')
+        queue.want(lost)
+        self.assertEqual(queue.start({}, 0), [lost])
+        self.assertEqual(queue.start({}, LOAD_WITHIN), [])
+        self.assertEqual(queue.start({}, LOAD_WITHIN + 1), [lost])
+        queue.forget('e1')
+        self.assertEqual(queue.start({}, 3 * LOAD_WITHIN), [])
--- /dev/null
+++ b/tests/test_scheduling_failures.py
@@ -0,0 +1,94 @@
+"""Tests of retries and outliers: an outage must not multiply load."""
+
+import random
+import unittest
+
+from tests.test_scheduling_ledger import make_work
+from verbenathread.replay.replay import default_policy
+from verbenathread.scheduling.outliers import (
+    FAILURES,
+    FIRST_EJECTION,
+    PROBE_WITHIN,
+    OutlierTracker,
+)
+from verbenathread.scheduling.retries import Retry, RetryPolicy
+from verbenathread.types import Outcome, Refusal
+
+
+class RetryTest(unittest.TestCase):
+    def test_a_total_outage_does_not_multiply_load(self):
+        policy = default_policy()
+        retries = RetryPolicy(policy, random.Random(1))
+        work = make_work('r', 1000)
+        attempts = 0
+        requests = 2000
+        for _ in range(requests):
+            retries.note_first()
+            made = 1
+            while isinstance(
+                retries.next(work, made, Outcome.NOT_RUN, 0, repeatable=True),
+                Retry,
+            ):
+                made += 1
+            attempts += made
+        self.assertLessEqual(attempts, requests * (1 + policy.retry_share) + 50)
+
+    def test_what_may_be_tried_again(self):
+        cases = {
+            'unknown, repeatable': (Outcome.UNKNOWN, True, 1, 0, True),
+            'unknown, not repeatable': (Outcome.UNKNOWN, False, 1, 0, False),
+            'not run, not repeatable': (Outcome.NOT_RUN, False, 1, 0, True),
+            'attempts used up': (Outcome.NOT_RUN, True, 4, 0, False),
+            'no time left': (Outcome.NOT_RUN, True, 1, 600000, False),
+        }
+        for name, case in cases.items():
+            with self.subTest(name):
+                outcome, repeatable, made, now, expected = case
+                retries = RetryPolicy(default_policy(), random.Random(1))
+                answer = retries.next(
+                    make_work('r', 1000),
+                    made,
+                    outcome,
+                    now,
+                    repeatable=repeatable,
+                )
+                self.assertEqual(isinstance(answer, Retry), expected)
+                self.assertEqual(isinstance(answer, Refusal), not expected)
+
+    def test_backoff_doubles_with_jitter(self):
+        retries = RetryPolicy(default_policy(), random.Random(1))
+        highest = [
+            max(retries.backoff(made) for _ in range(200)) for made in (1, 2, 3)
+        ]
+        self.assertLess(highest[0] * 1.5, highest[1])
+        self.assertLess(highest[1] * 1.5, highest[2])
+        self.assertGreater(len({retries.backoff(3) for _ in range(50)}), 20)
+
+
+class OutlierTest(unittest.TestCase):
+    def setUp(self):
+        self.tracker = OutlierTracker()
+        for _ in range(FAILURES):
+            self.assertEqual(self.tracker.put_aside(0), frozenset())
+            self.tracker.note_failure('e1', 0)
+
+    def test_one_probe_at_a_time_lets_it_back(self):
+        self.assertEqual(self.tracker.put_aside(1), {'e1'})
+        now = FIRST_EJECTION
+        self.assertEqual(self.tracker.put_aside(now), frozenset())
+        self.tracker.note_sent('e1', now)
+        self.assertEqual(self.tracker.put_aside(now), {'e1'})
+        self.tracker.note_success('e1')
+        self.assertEqual(self.tracker.put_aside(now), frozenset())
+
+    def test_a_failed_probe_doubles_the_time(self):
+        self.tracker.note_sent('e1', FIRST_EJECTION)
+        self.tracker.note_failure('e1', FIRST_EJECTION)
+        late = FIRST_EJECTION + 2 * FIRST_EJECTION
+        self.assertEqual(self.tracker.put_aside(late - 1), {'e1'})
+        self.assertEqual(self.tracker.put_aside(late), frozenset())
+
+    def test_a_lost_probe_does_not_shut_it_out_for_good(self):
+        self.tracker.note_sent('e1', FIRST_EJECTION)
+        late = FIRST_EJECTION + PROBE_WITHIN
+        self.assertEqual(self.tracker.put_aside(late), frozenset())
--- /dev/null
+++ b/tests/test_scheduling_ledger.py
@@ -0,0 +1,249 @@
+"""Tests of the ledger: memory, deadlines, order, takeover."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenathread.clock import ManualClock
+from verbenathread.replay.replay import default_policy
+from verbenathread.scheduling.ledger import START_WITHIN, EngineLedger
+from verbenathread.scheduling.messages import Ask, EngineHold, Queued
+from verbenathread.scheduling.tuning import CURRENT, PREVIOUS
+from verbenathread.types import Refusal, RefusalReason, Reservation, Work
+
+_MEMORY = 10000
+_FAR = 600000
+
+
+def make_work(name, tokens, *, deadline=_FAR, arrival=0, output=100):
+    return Work(
+        name, 'county', 'draft', tokens, output, output, deadline, arrival
+    )
+
+
+def make_ask(name, tokens, **parts):
+    memory = parts.pop('memory', tokens + 100)
+    entry_id = parts.pop('entry_id', 'n1')
+    work = make_work(name, tokens, **parts)
+    return Ask(work, name, entry_id, memory)
+
+
+def make_ledger(clock=None, *, memory=_MEMORY, tuning=CURRENT, **policy):
+    rules = default_policy()
+    for name, setting in policy.items():
+        setattr(rules, name, setting)
+    return EngineLedger('e1', memory, rules, clock or ManualClock(), tuning)
+
+
+class Caller:
+    """An entry that asks, starts and releases in any order."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.ledger = make_ledger(self.clock)
+
+    def ask(self, name, tokens):
+        self.ledger.ask(make_ask(name, tokens))
+
+    def cancel(self, name, tokens):
+        self.ledger.cancel(name)
+
+    def wait(self, name, tokens):
+        self.clock.advance(tokens)
+
+    def drop(self, name, tokens):
+        for late in self.ledger.drop_entry('n1'):
+            self.ledger.release(late.reservation_id, 0)
+
+    def start(self, name, tokens):
+        self.ledger.started(f'e1/{name}')
+
+    def progress(self, name, tokens):
+        self.ledger.progress(f'e1/{name}', 1)
+
+    def release(self, name, tokens):
+        self.ledger.release(f'e1/{name}', 10)
+
+
+_ACTIONS = ('ask', 'cancel', 'start', 'progress', 'release', 'wait', 'drop')
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(_ACTIONS), st.integers(0, 11), st.integers(1, 9000)
+    ),
+    max_size=60,
+)
+
+
+class MemoryTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(_STEPS)
+    def test_promises_memory_once_in_any_order(self, steps):
+        caller = Caller()
+        ledger = caller.ledger
+        for action, number, tokens in steps:
+            getattr(caller, action)(f'r{number}', tokens)
+            ledger.ready()
+            self.assertGreaterEqual(ledger.free_tokens, 0)
+            self.assertLessEqual(ledger.free_tokens, _MEMORY)
+        for number in range(12):
+            ledger.cancel(f'r{number}')
+            ledger.release(f'e1/r{number}', 0)
+        self.assertEqual(ledger.free_tokens, _MEMORY)
+
+    def test_takes_back_what_did_not_start_in_time(self):
+        clock = ManualClock()
+        ledger = make_ledger(clock)
+        self.assertIsInstance(ledger.ask(make_ask('a', 8000)), Reservation)
+        self.assertIsInstance(ledger.ask(make_ask('b', 8000)), Queued)
+        clock.advance(START_WITHIN + 1)
+        self.assertEqual([one.attempt_id for one in ledger.ready()], ['b'])
+
+    def test_a_resent_ask_holds_once(self):
+        ledger = make_ledger()
+        first = ledger.ask(make_ask('a', 4000))
+        self.assertEqual(ledger.ask(make_ask('a', 4000)), first)
+        self.assertEqual(ledger.free_tokens, _MEMORY - 4100)
+
+    def test_a_cancelled_grant_is_not_handed_out(self):
+        ledger = make_ledger()
+        ledger.ask(make_ask('a', 8000))
+        ledger.ask(make_ask('b', 8000))
+        ledger.release('e1/a', 0)
+        ledger.cancel('b')
+        self.assertEqual(ledger.ready(), [])
+        self.assertEqual(ledger.free_tokens, _MEMORY)
+
+    def test_takeover_counts_what_the_engine_holds(self):
+        ledger = make_ledger()
+        ledger.adopt([EngineHold('old', 8000, 7000, 5, 'n2')])
+        self.assertIsInstance(ledger.ask(make_ask('a', 4000)), Queued)
+        ledger.release('e1/old', 9)
+        self.assertEqual([one.attempt_id for one in ledger.ready()], ['a'])
+
+    def test_an_entry_that_is_gone_leaves_only_what_runs(self):
+        ledger = make_ledger()
+        ledger.ask(make_ask('runs', 3000, entry_id='gone'))
+        ledger.ask(make_ask('granted', 3000, entry_id='gone'))
+        ledger.ask(make_ask('waits', 8000, entry_id='gone'))
+        ledger.started('e1/runs')
+        left = ledger.drop_entry('gone')
+        self.assertEqual([one.attempt_id for one in left], ['runs'])
+        self.assertEqual(ledger.free_tokens, _MEMORY - 3100)
+        self.assertEqual(ledger.ready(), [])
+
+
+class RefusalTest(unittest.TestCase):
+    def test_refuses_on_arrival(self):
+        cases = {
+            'its own prefill': (None, 8000, 100, RefusalReason.DEADLINE),
+            'the wait before it': (9000, 8000, 800, RefusalReason.DEADLINE),
+            'more than the engine': (None, 10500, _FAR, RefusalReason.TOO_LONG),
+        }
+        for name, (before, tokens, deadline, reason) in cases.items():
+            with self.subTest(name):
+                ledger = make_ledger()
+                if before:
+                    ledger.ask(make_ask('before', before - 200))
+                answer = ledger.ask(make_ask('late', tokens, deadline=deadline))
+                self.assertIsInstance(answer, Refusal)
+                self.assertEqual(answer.reason, reason)
+                if reason is RefusalReason.DEADLINE:
+                    self.assertGreater(answer.retry_after, 0)
+
+    def test_retry_after_grows_with_the_backlog(self):
+        waits = []
+        for backlog in (1, 3):
+            ledger = make_ledger(memory=400000)
+            for number in range(backlog):
+                ledger.ask(make_ask(f'b{number}', 300000))
+            late = ledger.ask(make_ask('late', 300000, deadline=20000))
+            self.assertIsInstance(late, Refusal)
+            waits.append(late.retry_after)
+        self.assertGreater(waits[1], waits[0])
+
+    def test_the_queue_is_bounded(self):
+        ledger = make_ledger(queue_limit=2)
+        answers = [
+            ledger.ask(make_ask(f'r{number}', 8000)) for number in range(4)
+        ]
+        self.assertIsInstance(answers[2], Queued)
+        self.assertIsInstance(answers[3], Refusal)
+        self.assertEqual(answers[3].reason, RefusalReason.OVERLOADED)
+
+    def test_work_admitted_before_is_not_refused(self):
+        ledger = make_ledger(queue_limit=1)
+        ledger.ask(make_ask('a', 8000))
+        ledger.ask(make_ask('b', 8000))
+        again = make_ask('c', 8000, deadline=10)._replace(admitted=True)
+        self.assertIsInstance(ledger.ask(again), Queued)
+
+
+class OrderTest(unittest.TestCase):
+    def run_stream(self, tuning):
+        """Keep middle prompts coming; return when the long one begins."""
+        clock = ManualClock()
+        ledger = make_ledger(clock, memory=400000, tuning=tuning)
+        for number in range(4):
+            ledger.ask(make_ask(f'm{number}', 90000))
+            ledger.started(f'e1/m{number}')
+        ledger.ask(make_ask('long', 300000, deadline=10**9))
+        running = [f'm{number}' for number in range(4)]
+        for turn in range(100):
+            clock.advance(3000)
+            ended = running.pop(0)
+            ledger.progress(f'e1/{ended}', 1)
+            ledger.release(f'e1/{ended}', 100)
+            answer = ledger.ask(
+                make_ask(f'n{turn}', 90000, deadline=10**9, arrival=clock.now())
+            )
+            granted = [one.attempt_id for one in ledger.ready()]
+            if isinstance(answer, Reservation):
+                granted.append(f'n{turn}')
+            if 'long' in granted:
+                return turn
+            for name in granted:
+                ledger.started(f'e1/{name}')
+            running.extend(granted)
+            if not running:
+                self.fail('Nothing runs.')
+        return None
+
+    def test_a_long_prompt_is_not_passed_for_ever(self):
+        begun = self.run_stream(CURRENT)
+        self.assertIsNotNone(begun)
+        self.assertLessEqual(begun, 6)
+
+    def test_headroom_is_for_short_prompts(self):
+        ledger = make_ledger()
+        ledger.ask(make_ask('a', 8000))
+        self.assertIsInstance(ledger.ask(make_ask('m', 4500)), Queued)
+        self.assertIsInstance(ledger.ask(make_ask('s', 1500)), Reservation)
+
+    def test_shorter_goes_first_when_memory_comes_back(self):
+        for name, tuning in (('current', CURRENT), ('previous', PREVIOUS)):
+            with self.subTest(name):
+                ledger = make_ledger(memory=20000, tuning=tuning)
+                ledger.ask(make_ask('a', 17000))
+                ledger.ask(make_ask('middle', 9000))
+                ledger.ask(make_ask('short', 4000))
+                ledger.release('e1/a', 10)
+                order = [one.attempt_id for one in ledger.ready()]
+                self.assertEqual(order, ['short', 'middle'])
+
+    def test_accounts_share_by_weight(self):
+        tuning = PREVIOUS._replace(fair_shares=True)
+        ledger = make_ledger(tuning=tuning, memory=4000)
+        ledger.ask(make_ask('runs', 3000))
+        for number in range(6):
+            ledger.ask(make_ask(f'flood{number}', 3000))
+        other = make_ask('other', 3000)
+        work = other.work._replace(account='quiet')
+        ledger.ask(other._replace(work=work))
+        order = []
+        last = 'runs'
+        for _ in range(3):
+            ledger.release(f'e1/{last}', 10)
+            last = ledger.ready()[0].attempt_id
+            order.append(last)
+        self.assertIn('other', order)
--- /dev/null
+++ b/tests/test_scheduling_limits.py
@@ -0,0 +1,105 @@
+"""Tests of limits per account: the stated overshoot, silence, long ones."""
+
+import unittest
+
+from verbenathread.scheduling.limits import (
+    BURST,
+    LOCAL_SHARE,
+    STALE,
+    AccountLimiter,
+)
+from verbenathread.schema import settings_pb2
+from verbenathread.types import RefusalReason
+
+_ENTRIES = 9
+_LAG = 2000
+_RATE = 30
+
+
+def make_limits(**changes):
+    parts = {
+        'requests_per_second': _RATE,
+        'tokens_per_second': 10**9,
+        'long_prompts': 8,
+    }
+    parts.update(changes)
+    return settings_pb2.AccountSettings(**parts)
+
+
+def flood(limits, duration, *, entries, hears, is_long=False):
+    """Send far over the limit; return what was admitted in the end."""
+    limiters = [AccountLimiter(_ENTRIES, 0) for _ in range(_ENTRIES)]
+    admitted = 0
+    on_the_way = []
+    for now in range(0, duration, 10):
+        for limiter in limiters[:entries]:
+            refusal = limiter.admit('a', limits, 1, now, is_long=is_long)
+            admitted += refusal is None
+        if now % 1000:
+            continue
+        on_the_way.append([limiter.usage() for limiter in limiters])
+        if hears and len(on_the_way) * 1000 > _LAG:
+            deliver(limiters, on_the_way.pop(0), now)
+    return admitted
+
+
+def deliver(limiters, usages, now):
+    for sender, usage in enumerate(usages):
+        for receiver, limiter in enumerate(limiters):
+            if receiver != sender:
+                limiter.note_usage(f'n{sender}', usage, now)
+
+
+class LimitTest(unittest.TestCase):
+    def test_overshoot_is_within_the_stated_bound(self):
+        for entries in (1, 3, _ENTRIES):
+            for seconds in (2, 20, 60):
+                with self.subTest(entries=entries, seconds=seconds):
+                    window = seconds * 1000
+                    admitted = flood(
+                        make_limits(), window, entries=entries, hears=True
+                    )
+                    # Usage is sent each second and is then 2 s on its way.
+                    lag = _LAG + 1000
+                    extra = BURST + LOCAL_SHARE * (BURST + lag)
+                    most = _RATE * (window + extra) / 1000 + _ENTRIES
+                    self.assertLessEqual(admitted, most)
+
+    def test_debt_brings_the_rate_back_to_the_limit(self):
+        long = flood(make_limits(), 330000, entries=9, hears=True)
+        short = flood(make_limits(), 30000, entries=9, hears=True)
+        self.assertLessEqual(long - short, _RATE * 300 * 1.03)
+        self.assertGreaterEqual(long - short, _RATE * 300 * 0.9)
+
+    def test_an_entry_that_hears_nothing_keeps_its_share(self):
+        early = flood(make_limits(), STALE, entries=9, hears=False)
+        late = flood(make_limits(), STALE + 60000, entries=9, hears=False)
+        self.assertLessEqual(late - early, _RATE * 60 * 1.05)
+
+    def test_long_prompts_in_progress_are_bounded(self):
+        admitted = flood(
+            make_limits(), 20000, entries=_ENTRIES, hears=True, is_long=True
+        )
+        own_most = -(-8 * LOCAL_SHARE // _ENTRIES)
+        self.assertLessEqual(admitted, own_most * _ENTRIES)
+
+    def test_refusal_says_when_to_come_back(self):
+        limiter = AccountLimiter(1, 0)
+        limits = make_limits(requests_per_second=1)
+        answers = [
+            limiter.admit('a', limits, 1, 0, is_long=False) for _ in range(5)
+        ]
+        refusal = answers[-1]
+        self.assertEqual(refusal.reason, RefusalReason.ACCOUNT_LIMIT)
+        again = limiter.admit(
+            'a', limits, 1, refusal.retry_after, is_long=False
+        )
+        self.assertIsNone(again)
+
+    def test_unspent_tokens_and_long_places_come_back(self):
+        limiter = AccountLimiter(1, 0)
+        limits = make_limits(tokens_per_second=10, long_prompts=1)
+        limiter.admit('a', limits, 100, 0, is_long=True)
+        self.assertIsNotNone(limiter.admit('a', limits, 1, 0, is_long=False))
+        limiter.done('a', 50, 0, is_long=True)
+        self.assertIsNone(limiter.admit('a', limits, 1, 0, is_long=True))
--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -73,7 +73,7 @@
         """Take one request from a caller."""
         now = self._place.now()
         work = new_work(number, request, self.parts.outputs, now)
-        pending = Pending(number, request, work)
+        pending = Pending(request, work)
         refusal = self.parts.admission.admit(
             work,
             self.parts.limits_by_account[work.account],
@@ -144,14 +144,14 @@
         for upstream_id in pending.upstream_ids():
             self.parts.outliers.note_success(upstream_id)
         output = pending.request.output_tokens
-        self._grants.release(pending, output - pending.output_tokens)
+        self._grants.release(pending, output)
         self.parts.outputs.note(
             pending.work.account, pending.work.service, output
         )
         self._end(pending, Ending.COMPLETED)
 
     def broken(self, attempt_id: str) -> None:
-        """Take the loss of an engine; go on from the last token."""
+        """Take the loss of an engine; begin again on another."""
         pending = self._current(attempt_id)
         if pending is None:
             return
@@ -191,9 +191,8 @@
             return
         pending.attempts += 1
         pending.claim = None
-        pending.accepted.clear()
         pending.held = ()
-        work = pending.work_left()
+        work = pending.work
         records = self._place.records()
         size = group_size(
             memory_needed(work),
@@ -216,7 +215,7 @@
         if upstream_id is None:
             self._nowhere(pending)
             return
-        work = pending.work_left()
+        work = pending.work
         ask = Ask(
             work,
             pending.attempt_id,
@@ -264,7 +263,7 @@
         if len(candidates) < size:
             self._nowhere(pending)
             return
-        work = pending.work_left()
+        work = pending.work
         claim = GroupClaim(
             work,
             pending.attempt_id,
@@ -320,13 +319,13 @@
             return
         for held in pending.held:
             self._grants.tell(held, begin(held))
-        work = pending.work_left()
+        work = pending.work
         job = Job(
             attempt_id=pending.attempt_id,
             request_id=work.request_id,
             entry_id=self.entry_id,
             prompt_tokens=work.prompt_tokens,
-            output_tokens=pending.request.output_tokens - pending.output_tokens,
+            output_tokens=pending.request.output_tokens,
             memory_tokens=pending.held[0].memory_tokens,
             priority=pending.held[0].priority,
             prefix_hashes=work.prefix_hashes,
@@ -370,7 +369,7 @@
         first = pending.first_token_at
         self._place.note(
             RequestResult(
-                pending.number,
+                int(pending.work.request_id.removeprefix('r')),
                 pending.request,
                 ending,
                 now - arrival,
--- a/verbenathread/replay/pending.py
+++ b/verbenathread/replay/pending.py
@@ -61,9 +61,8 @@
 class Pending:
     """One request while the entry serves it."""
 
-    def __init__(self, number: int, request: TraceRequest, work: Work) -> None:
+    def __init__(self, request: TraceRequest, work: Work) -> None:
         """Begin before the first attempt."""
-        self.number = number
         self.request = request
         self.work = work
         self.attempts = 0
@@ -77,18 +76,12 @@
         self.run: GroupRun | None = None
         self.is_admitted = False
         self.is_over = False
-        # Owners that did not refuse the attempt in progress.
-        self.accepted: set[UpstreamId] = set()
         self.first_token_at: float | None = None
-        # Output of earlier attempts, which a resumed one does not repeat.
-        self.output_tokens = 0
         self.refusal: Refusal | None = None
 
     def note_accepted(self, upstream_id: UpstreamId) -> None:
         """Note that an owner did not refuse; a group needs every member."""
-        self.accepted.add(upstream_id)
-        members = () if self.claim is None else self.claim.members
-        if self.accepted.issuperset(members):
+        if self.claim is None or self.claim.accepted(upstream_id):
             self.is_admitted = True
 
     @property
@@ -100,16 +93,6 @@
         """Return the engines that the attempt holds memory of."""
         return tuple(held.upstream_ids[0] for held in self.held)
 
-    def work_left(self) -> Work:
-        """Return what an attempt from the last token on would cost."""
-        done = self.output_tokens
-        work = self.work
-        return work._replace(
-            prompt_tokens=work.prompt_tokens + done,
-            most_output_tokens=work.most_output_tokens - done,
-            expected_output_tokens=max(1, work.expected_output_tokens - done),
-        )
-
 
 class Grants:
     """Messages of one entry to the owners of engines."""
--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -17,12 +17,14 @@
         holds: HoldBook,
         queue: WaitQueue,
         use: ClassUse,
+        tuning: Tuning,
         now: Millis,
     ) -> None:
         """Look at the ledger's parts as they are."""
         self._holds = holds
         self._queue = queue
         self._use = use
+        self._tuning = tuning
         self._now = now
 
     def wait(self, waiting: Waiting, needed: int) -> float:
@@ -41,7 +43,10 @@
                 continue
             prefill += other.prefill
         memory = memory_outlook(self._holds, missing, self._now)
-        return max(self._slowed(prefill, waiting.level), memory.wait)
+        memory_wait = memory.wait
+        if self._tuning.slowed_memory:
+            memory_wait = self._slowed(memory_wait, waiting.level)
+        return max(self._slowed(prefill, waiting.level), memory_wait)
 
     def service(self, waiting: Waiting) -> float:
         """Return expected ms of prefill beside more urgent classes."""
--- a/verbenathread/scheduling/granting.py
+++ b/verbenathread/scheduling/granting.py
@@ -73,7 +73,7 @@
         self._beside = 0
 
     def protect(self, queue: WaitQueue, promise: Promise) -> None:
-        """Protect the oldest ask above the short class, if it must wait."""
+        """Protect the oldest ask above the short class."""
         if not self._tuning.backfill:
             return
         longer = [
@@ -82,13 +82,10 @@
         if not longer:
             return
         oldest = min(longer, key=_age)
-        missing = self._missing(oldest)
-        if missing <= 0:
-            return
-        outlook = memory_outlook(self._book, missing, self._now)
+        outlook = memory_outlook(self._book, self._missing(oldest), self._now)
         self._protected = oldest
         self._begins_in = promise.left(oldest, outlook.wait, self._now)
-        if self._begins_in > 0:
+        if outlook.wait <= 0 or self._begins_in > 0:
             self._beside = outlook.surplus
 
     def may_have(self, waiting: Waiting) -> bool:
@@ -102,6 +99,8 @@
         if not self._may_pass(waiting):
             return False
         self._gate.count(waiting)
+        if waiting is self._protected:
+            self._protected = None
         return True
 
     def _missing(self, waiting: Waiting) -> int:
--- a/verbenathread/scheduling/groups.py
+++ b/verbenathread/scheduling/groups.py
@@ -69,8 +69,14 @@
             order=order,
             admitted=admitted,
         )
+        self._accepted: set[UpstreamId] = set()
         self._held_by_id: dict[UpstreamId, Reservation] = {}
 
+    def accepted(self, upstream_id: UpstreamId) -> bool:
+        """Note that an owner did not refuse; True once none did."""
+        self._accepted.add(upstream_id)
+        return self._accepted.issuperset(self.members)
+
     def granted(self, reservation: Reservation) -> None:
         """Note a hold."""
         self._held_by_id[reservation.upstream_ids[0]] = reservation
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -291,7 +291,9 @@
         return Queued(int(outlook.wait(waiting, self._needed(waiting))))
 
     def _outlook(self, now: Millis) -> forecast.Outlook:
-        return forecast.Outlook(self._book, self._queue, self._use, now)
+        return forecast.Outlook(
+            self._book, self._queue, self._use, self._tuning, now
+        )
 
     def _most_for(self, length: LengthClass) -> int:
         """Return the most memory that one prompt of a class may hold."""
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -40,6 +40,8 @@
     look_again: float = 0
     # Time that a long prompt must have, as a multiple of what is expected.
     long_margin: float = 1
+    # Expect memory to come back later, too, beside more urgent prompts.
+    slowed_memory: bool = False
     # Ask the next engine when the first one's wait is over this; 0 is never.
     second_ask: Millis = 0
 
@@ -47,10 +49,12 @@
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
 _PATIENCE: Millis = 50
+_MARGIN = 1.5
 CURRENT = PREVIOUS._replace(
     by_size=True,
     second_ask=_PATIENCE,
     backfill=True,
-    look_again=1.5,
-    long_margin=1.5,
+    look_again=_MARGIN,
+    long_margin=_MARGIN,
+    slowed_memory=True,
 )
