Hold back short and middle prefill at the owner; weigh chunks and streams

Cause: under a flood short prompts met at one engine that had memory for all, so no owner ever sent one elsewhere. Conclusion: kept, 100 ms for short and 300 ms for middle prompts.

--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -103,7 +103,9 @@
         self._shut = not self._tuning.by_class
 
     def _in_window(self, length: LengthClass) -> bool:
-        window = self._tuning.prefill_window
+        window = self._tuning.middle_window
+        if length == LengthClass.SHORT:
+            window = self._tuning.short_window
         return not window or self._prefill[length] < window
 
 
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -25,8 +25,10 @@
 _TOKENS_PER_SAMPLE = 1000
 # Expected wait for memory where the report shows too little.
 _MEMORY_WAIT: Millis = 2000
-# What one running request adds to the time of a step at the engine.
-_RUNNING_MS = 0.2
+# Each running request slows the prefill of the others by this share.
+_RUNNING_SHARE = 0.008
+# A more urgent prompt waits for the end of a chunk of one that runs.
+_CHUNK_WAIT: Millis = 15
 _LONG = LengthClass.LONG
 # Least engines set apart for long prompts: the largest usual group.
 _LEAST_APART = 3
@@ -173,7 +175,9 @@
             free = seen.report.free_tokens
             backlog = sum(seen.report.backlog_by_class[: length + 1])
             wait += max(0, backlog - (now - seen.noted_at))
-            wait += seen.report.running * _RUNNING_MS
+            wait += seen.report.running * _RUNNING_SHARE * prefill
+            if sum(seen.report.backlog_by_class[length + 1 :]) > 0:
+                wait += _CHUNK_WAIT
         for sent in seen.sent:
             free -= sent.memory_tokens
             if sent.length <= length:
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -14,9 +14,10 @@
 
     # Shorter classes go first; without it the queue is first in, first out.
     by_class: bool = True
-    # Prefill in progress at the engine per length class; more waits in the
-    # ledger, where its order can still change. 0 lets all through.
-    prefill_window: Millis = 0
+    # Prefill of short, and of middle, prompts in progress at the engine; more
+    # waits in the ledger, where it can still go elsewhere. 0 lets all through.
+    short_window: Millis = 0
+    middle_window: Millis = 0
     # Long prompts that one engine prefills at a time; 0 is no limit.
     long_prefills: int = 0
     # Waiting that makes a request one class more urgent; 0 is no ageing.
@@ -50,7 +51,11 @@
 PREVIOUS = Tuning()
 _PATIENCE: Millis = 50
 _MARGIN = 1.5
+_SHORT_WINDOW: Millis = 100
+_MIDDLE_WINDOW: Millis = 300
 CURRENT = PREVIOUS._replace(
+    short_window=_SHORT_WINDOW,
+    middle_window=_MIDDLE_WINDOW,
     by_size=True,
     second_ask=_PATIENCE,
     backfill=True,
