--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -14,9 +14,10 @@
 
     # Shorter classes go first; without it the queue is first in, first out.
     by_class: bool = True
-    # Prefill in progress at the engine per length class; more waits in the
-    # ledger, where its order can still change. 0 lets all through.
-    prefill_window: Millis = 0
+    # Prefill of short, and of middle, prompts in progress at the engine; more
+    # waits in the ledger, where it can still go elsewhere. 0 lets all through.
+    short_window: Millis = 0
+    middle_window: Millis = 0
     # Long prompts that one engine prefills at a time; 0 is no limit.
     long_prefills: int = 0
     # Waiting that makes a request one class more urgent; 0 is no ageing.
@@ -40,6 +41,8 @@
     look_again: float = 0
     # Time that a long prompt must have, as a multiple of what is expected.
     long_margin: float = 1
+    # Expect memory to come back later, too, beside more urgent prompts.
+    slowed_memory: bool = False
     # Ask the next engine when the first one's wait is over this; 0 is never.
     second_ask: Millis = 0
 
@@ -47,10 +50,16 @@
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
 _PATIENCE: Millis = 50
+_MARGIN = 1.5
+_SHORT_WINDOW: Millis = 100
+_MIDDLE_WINDOW: Millis = 300
 CURRENT = PREVIOUS._replace(
+    short_window=_SHORT_WINDOW,
+    middle_window=_MIDDLE_WINDOW,
     by_size=True,
     second_ask=_PATIENCE,
     backfill=True,
-    look_again=1.5,
-    long_margin=1.5,
+    look_again=_MARGIN,
+    long_margin=_MARGIN,
+    slowed_memory=True,
 )
