--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -36,7 +36,6 @@
         self.ports = Ports(
             FakeSettings(), upstreams, PassingOver(upstreams), FakeClaims()
         )
-        self.incarnation = 1
         self.is_ready = False
         self.stops = 0
 
