--- a/tests/consensus_schedule.py
+++ b/tests/consensus_schedule.py
@@ -90,6 +90,7 @@
 
     def __init__(self, seed) -> None:
         self.group = Group(
+            voters=3 if seed % 3 else 5,
             seed=seed,
             snapshot_records=_SNAPSHOT_RECORDS,
             chunk_bytes=_CHUNK_BYTES,
@@ -163,8 +164,13 @@
             await self.group.start(node_id)
 
     async def step(self, step):
-        node_id = f'n{step.node}'
-        if not step.node:
+        if step.node:
+            turn = self.group.chance.choice((0, 2))
+            chosen = self.group.first[
+                (step.node + turn) % len(self.group.first)
+            ]
+            node_id = chosen.node_id
+        else:
             node_id = self.leading_id() or 'n1'
         await getattr(self, step.action)(node_id)
         await asyncio.sleep(step.pause_ms / 1000)
