--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import shutil
+import signal
 import socket
 import time
 from pathlib import Path
@@ -72,6 +74,16 @@
             str(self._path(name)),
         )
 
+    def lose_disk(self, name: str) -> None:
+        """Kill a process and give it an empty folder that waits to join."""
+        started = self.processes.by_name[name]
+        started.send(signal.SIGKILL)
+        started.wait(20)
+        shutil.rmtree(self.processes.folder / f'{name}-data')
+        path = self._path(name)
+        path.write_text(f'{path.read_text()}join = yes\n')
+        self.start(name)
+
     def client(self, *names: str, limit: Millis = 20_000) -> ControlClient:
         """Return a client of the named processes, or of all."""
         chosen = names or tuple(self.address_by_name)
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -193,6 +193,31 @@
 
         self.run_scene(scene)
 
+    def test_lost_disk_and_then_a_second_vm(self):
+        async def scene(group, processes, client):
+            revision = await client.change('/desk', account_text(1), 0)
+            last = await change_in_turn(client, 120, revision)
+            leader = (await client.status()).leader
+            lost, second = (name for name in NAMES if name != leader)
+            address = str(group.address_by_name[lost])
+            group.lose_disk(lost)
+            await client.change_member('remove', lost)
+            await client.change_member('add', lost, address)
+            await client.change_member('promote', lost)
+            # Right after the repair: the new member is one of the two left.
+            processes.by_name[second].send(signal.SIGKILL)
+            last = await client.change('/desk', account_text(2), last)
+            tree = await client.read_tree()
+            self.assertEqual(tree.revision, last)
+            members = (await client.status()).members
+            self.assertEqual([one.voter for one in members], [True, True, True])
+            trail = await client.audit(last - 8, 20, '')
+            actions = {record.action for record in trail.records}
+            self.assertIn('member add', actions)
+            client.close()
+
+        self.run_scene(scene)
+
     def test_claim_outlives_leader_and_owner(self):
         async def scene(group, processes, client):
             held = await ask(group, claim('a'))
