Show the group to operators only, and let an order be resent to another leader

Cause: read again, the status without a quorum was answered before the key was looked at; and a resent order had another digest once the leader had learned the upstream's address, so it was refused as another request. Now the key is checked against what this process holds, and an order carries the digest of what the operator asked. The resend of an order has no test of its own.

--- a/tests/test_control_proposals.py
+++ b/tests/test_control_proposals.py
@@ -5,11 +5,18 @@
 from unittest.mock import patch
 
 from tests.consensus_network import Group, in_turn
-from tests.control_commands import account_text, change, operator_text
+from tests.control_commands import (
+    ROOT_KEY,
+    ROOT_SHA,
+    account_text,
+    change,
+    operator_text,
+)
 from tests.virtual_loop import run_virtual
 from verbenathread.clock import LoopClock, ManualClock
 from verbenathread.control.machine import ControlMachine
 from verbenathread.control.nodes import NodeTable
+from verbenathread.control.operator_calls import OperatorCalls
 from verbenathread.control.proposals import Proposals
 from verbenathread.control.sweeper import OWNER_SILENCE, ClaimSweeper
 from verbenathread.schema import control_pb2
@@ -91,6 +98,38 @@
             # What the isolated side was asked ran nowhere.
             self.assertEqual(len(machine.claims), 0)
 
+    def test_view_of_an_isolated_process_needs_a_key(self):
+        async def scene():
+            async with Group() as group:
+                node_id = await group.leader()
+                group.network.isolate(node_id)
+                machine = group.machine_by_id[node_id]
+                calls = OperatorCalls(
+                    log=group.replicas[node_id],
+                    machine=machine,
+                    proposals=self.at(group, node_id),
+                    nodes=NodeTable(LoopClock()),
+                    orders=list,
+                    root_key_sha256=ROOT_SHA,
+                )
+                await asyncio.sleep(5)
+                replies = []
+
+                async def ask(key):
+                    request = control_pb2.StatusRequest(
+                        operator_name='root', operator_key=key
+                    )
+                    replies.append(await calls.status(request))
+
+                await in_turn(ask, (ROOT_KEY, 'wrong'))
+                return replies
+
+        known, stranger = run_virtual(scene())
+        self.assertEqual(known.answer.code, control_pb2.NO_QUORUM)
+        self.assertEqual(len(known.members), 3)
+        self.assertEqual(stranger.answer.code, control_pb2.DENIED)
+        self.assertEqual(len(stranger.members), 0)
+
     def test_refusals_stand_in_the_audit_without_the_text(self):
         async def scene():
             async with Group() as group:
--- a/verbenathread/control/machine.py
+++ b/verbenathread/control/machine.py
@@ -229,7 +229,7 @@
     def _apply_order(
         self, index: int, order: commands_pb2.OrderCommand
     ) -> bytes:
-        digest = digest_of(order)
+        digest = order.digest or digest_of(order)
         try:
             earlier = self.remembered(order.operation_id, digest)
         except ReusedOperationError as error:
--- a/verbenathread/control/operator_calls.py
+++ b/verbenathread/control/operator_calls.py
@@ -6,6 +6,7 @@
 from verbenathread.control.answers import answer_of, invalid, ok
 from verbenathread.control.machine import ControlMachine
 from verbenathread.control.nodes import NodeTable
+from verbenathread.control.operations import digest_of
 from verbenathread.control.ports import ControlLog
 from verbenathread.control.proposals import (
     CHANGE_LIMIT,
@@ -125,16 +126,19 @@
 
         While nobody leads, the answer is NO_QUORUM with this process's view.
         """
+        credential = self._credential(request)
+        answer = ok()
         try:
-            await self._proposals.require_operator(self._credential(request))
-        except RefusedOperatorError as refused:
-            return control_pb2.StatusReply(answer=refused.answer)
+            await self._log.barrier(CHANGE_LIMIT)
         except VerbenathreadError as error:
             answer = answer_of(error)
-            if answer.code == control_pb2.NOT_LEADER:
-                return control_pb2.StatusReply(answer=answer)
-            return self._view(answer)
-        return self._view(ok())
+        if answer.code == control_pb2.NOT_LEADER:
+            return control_pb2.StatusReply(answer=answer)
+        try:
+            self._proposals.check_operator(credential)
+        except RefusedOperatorError as refused:
+            return control_pb2.StatusReply(answer=refused.answer)
+        return self._view(answer)
 
     async def place_order(
         self, request: control_pb2.OrderRequest
@@ -187,25 +191,25 @@
     ) -> commands_pb2.OrderCommand:
         if not request.upstream_id:
             raise UsageError('name the upstream')
-        address = request.address
-        service = request.service
-        for known in (
-            self._nodes.upstream(request.upstream_id),
-            self._machine.wanted.get(request.upstream_id),
-        ):
-            if known is not None:
-                address = address or known.address
-                service = service or known.service
-        parse_address(address)
-        return commands_pb2.OrderCommand(
+        order = commands_pb2.OrderCommand(
             operation_id=request.operation_id,
             credential=self._credential(request),
             upstream_id=request.upstream_id,
-            address=address,
-            service=service,
+            address=request.address,
+            service=request.service,
             action=request.action,
             subject=request.subject,
         )
+        order.digest = digest_of(order)
+        for known in (
+            self._nodes.upstream(request.upstream_id),
+            self._machine.wanted.get(request.upstream_id),
+        ):
+            if known is not None:
+                order.address = order.address or known.address
+                order.service = order.service or known.service
+        parse_address(order.address)
+        return order
 
     async def _record(self, record: commands_pb2.MemberCommand) -> None:
         await self._proposals.propose(
