Ask all owners of a group at once, and let a held part yield

Scheduling changed the order of groups: every owner is asked at once, and a part that has not started yields, when renewed, to a group that comes before. A part of a group therefore doesn't count as started at the grant, but as soon as its last moment to start has passed and the engine is being asked.

--- a/tests/test_entry_reservations.py
+++ b/tests/test_entry_reservations.py
@@ -117,6 +117,29 @@
         free = [network.free(name) for name in ('e1', 'e2', 'e3')]
         self.assertEqual(free, [MEMORY, MEMORY, MEMORY])
 
+    @with_engines(5, 'e1', 'e2', 'e3')
+    async def test_two_groups_never_wait_for_each_other(self, network):
+        users = ('entry-0', 'entry-1', 'entry-2')
+        asks = {
+            asyncio.create_task(network.reserve(user, 900_000)): user
+            for user in users
+        }
+        waiting = set(asks)
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting, timeout=20, return_when=asyncio.FIRST_COMPLETED
+            )
+            self.assertEqual(len(done), 1)
+            for ask in done:
+                whole = ask.result()
+                self.assertIsInstance(whole, Reservation)
+                network.engines.run(whole, asks[ask])
+                await asyncio.sleep(1)  # noqa: WPS476 - one at a time
+                network.engines.end(whole)
+                network.node_by_id[asks[ask]].reservations.release(
+                    whole, output_tokens=1, failed=False
+                )
+
     @with_engines(3, 'e1', 'e2', 'e3')
     async def test_half_held_group_gives_its_parts_back(self, network):
         held = await asyncio.gather(
--- a/verbenathread/entry/group_reservations.py
+++ b/verbenathread/entry/group_reservations.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from verbenathread.clock import seconds
-from verbenathread.entry import hold_messages
 from verbenathread.entry.background import Background
 from verbenathread.entry.engine_owners import EngineOwners
 from verbenathread.scheduling.groups import GroupClaim
@@ -12,65 +11,57 @@
 from verbenathread.schema import peer_pb2
 from verbenathread.types import Reservation, UpstreamId
 
-# Holds are renewed this often while the next engine is waited for.
+# Holds are renewed this often until the whole group is held.
 _RENEW_MS = START_WITHIN // 3
 
-_Outcome = Reservation | peer_pb2.ReserveReply
-
 
 class GroupReservation:
-    """Holds one engine after the other, in ascending order of all."""
+    """Asks the owners of all engines at once, and keeps what they grant."""
 
     def __init__(self, claim: GroupClaim, owners: EngineOwners) -> None:
         """Take the claim that names the engines."""
         self._claim = claim
         self._owners = owners
-        self._ask_by_id: dict[UpstreamId, Ask] = {}
+        self._refusal: peer_pb2.ReserveReply | None = None
+        self._changed = asyncio.Event()
 
-    async def reserve(self) -> _Outcome:
+    async def reserve(self) -> Reservation | peer_pb2.ReserveReply:
         """Return the whole group's reservation, or the first refusal."""
-        async with Background(self._renew_until_cancelled()):
-            refusal = await self._reserve_each()
-        if refusal is not None:
-            return refusal
-        return await self._renewed_whole()
+        async with Background(self._hold_all()):
+            while True:
+                await self._changed.wait()
+                self._changed.clear()
+                whole = self._claim.whole()
+                if whole is not None:
+                    return whole
+                if self._refusal is not None:
+                    return self._refusal
+
+    async def _hold_all(self) -> None:
+        await asyncio.gather(*map(self._hold, self._claim.members))
 
-    async def _reserve_each(self) -> peer_pb2.ReserveReply | None:
+    async def _hold(self, upstream_id: UpstreamId) -> None:
+        """Hold one engine until cancelled; ask again when it yielded."""
+        ask = self._claim.ask
         while True:
-            step = self._claim.next_ask()
-            if step is None:
-                return None
-            upstream_id, ask = step
             outcome = await self._owners.reserve(
                 upstream_id, ask, may_queue=True
             )
             if isinstance(outcome, peer_pb2.ReserveReply):
-                return outcome
-            self._ask_by_id[upstream_id] = ask
+                self._refusal = outcome
+                self._changed.set()
+                return
             self._claim.granted(outcome)
+            self._changed.set()
+            ask = await self._renew_until_lost(upstream_id)
 
-    async def _renewed_whole(self) -> _Outcome:
-        """Give all holds one more time to start, now that all are there."""
-        whole = self._claim.whole()
-        start_by_each = []
-        for outcome in await self._renew():
-            if isinstance(outcome, peer_pb2.ReserveReply):
-                return outcome
-            start_by_each.append(outcome.start_by)
-        if whole is None:
-            return peer_pb2.ReserveReply(refusal=hold_messages.NOT_OWNER)
-        return whole._replace(start_by=min(start_by_each))
-
-    async def _renew(self) -> list[_Outcome]:
-        # An ask that is sent again renews the time to start.
-        return await asyncio.gather(
-            *[
-                self._owners.reserve(upstream_id, ask, may_queue=False)
-                for upstream_id, ask in self._ask_by_id.items()
-            ]
-        )
-
-    async def _renew_until_cancelled(self) -> None:
+    async def _renew_until_lost(self, upstream_id: UpstreamId) -> Ask:
         while True:
             await asyncio.sleep(seconds(_RENEW_MS))
-            await self._renew()
+            # An ask that is sent again renews the time to start.
+            outcome = await self._owners.reserve(
+                upstream_id, self._claim.ask, may_queue=False
+            )
+            if isinstance(outcome, peer_pb2.ReserveReply):
+                return self._claim.lost(upstream_id)
+            self._claim.granted(outcome)
--- a/verbenathread/entry/hold_messages.py
+++ b/verbenathread/entry/hold_messages.py
@@ -41,6 +41,8 @@
         memory_tokens=ask.memory_tokens,
         group=ask.group,
         weight=ask.weight,
+        admitted=ask.admitted,
+        order=ask.order,
     )
 
 
@@ -65,6 +67,8 @@
         request.memory_tokens,
         weight=request.weight,
         group=tuple(request.group),
+        admitted=request.admitted,
+        order=request.order,
     )
 
 
--- a/verbenathread/entry/owned_engine.py
+++ b/verbenathread/entry/owned_engine.py
@@ -1,6 +1,7 @@
 """One engine whose memory this entry owns: its ledger, grants and waiters.
 
-A grant counts as started at once. Its memory comes back only when the entry
+A grant counts as started at once, but for a part of a group, which may yield
+to another group until the whole group is held. Its memory comes back only when the entry
 that asked releases it, or when the engine, read after the last moment at
 which the attempt could reach it, does not list the attempt. So a lost
 message gives no memory out twice.
@@ -100,6 +101,8 @@
         if not self._holds_lease():
             return self._not_owner()
         ask = hold_messages.ask_of(request, self._clock)
+        if ask.group:
+            self._renew(ask.attempt_id)
         outcome = self.ledger.ask(ask)
         self.pump()
         if isinstance(outcome, Reservation):
@@ -122,11 +125,12 @@
         )
         if grant is None:
             return
-        grant.started = grant.started or update.started
+        if update.started:
+            self._note_started(grant)
         if update.released:
             self._drop(grant, update.output_tokens)
         elif update.output_tokens:
-            grant.started = True
+            self._note_started(grant)
             self.ledger.progress(grant.reservation_id, update.output_tokens)
 
     def pump(self) -> None:
@@ -155,14 +159,16 @@
         and no attempt can reach the engine any more.
         """
         now = self._clock.now()
-        return tuple(
-            grant
-            for grant in self._grant_by_id.values()
-            if now > grant.start_by + ARRIVAL_MS
-            and not (
-                grant.started and is_alive(grant.entry_id, grant.incarnation)
-            )
-        )
+        found = []
+        for grant in self._grant_by_id.values():
+            if now <= grant.start_by + ARRIVAL_MS:
+                continue
+            # It may run: the ledger must not let it expire or yield.
+            self.ledger.started(grant.reservation_id)
+            if grant.started and is_alive(grant.entry_id, grant.incarnation):
+                continue
+            found.append(grant)
+        return tuple(found)
 
     def settle(self, grant: Grant, listed_ids: frozenset[str]) -> None:
         """Take what the engine says of a doubtful grant."""
@@ -234,7 +240,8 @@
             ),
         )
         grant.start_by = start_by
-        self.ledger.started(reservation.reservation_id)
+        if not request.group:
+            self.ledger.started(reservation.reservation_id)
         return peer_pb2.ReserveReply(
             reservation_id=reservation.reservation_id,
             memory_tokens=reservation.memory_tokens,
@@ -243,6 +250,21 @@
             owner_incarnation=self._incarnation,
         )
 
+    def _renew(self, attempt_id: str) -> None:
+        """Renew a part of a group, or give it up to another group."""
+        grant = self._grant_by_id.get(
+            reservation_id(self.ledger.upstream_id, attempt_id)
+        )
+        if grant is None or grant.started:
+            return
+        if self.ledger.renew(grant.reservation_id) is None:
+            self._grant_by_id.pop(grant.reservation_id)
+            self.pump()
+
+    def _note_started(self, grant: Grant) -> None:
+        grant.started = True
+        self.ledger.started(grant.reservation_id)
+
     def _drop(self, grant: Grant, output_tokens: int) -> None:
         self._grant_by_id.pop(grant.reservation_id)
         self.ledger.release(grant.reservation_id, output_tokens)
--- a/verbenathread/entry/reservations.py
+++ b/verbenathread/entry/reservations.py
@@ -240,8 +240,14 @@
         members: Sequence[UpstreamId],
         needed: int,
     ) -> _Outcome | None:
+        age = self._clock.now() - work.arrival
         claim = GroupClaim(
-            work, attempt_id, self._cell.identity.node_id, members, needed
+            work,
+            attempt_id,
+            self._cell.identity.node_id,
+            members,
+            needed,
+            self._clock.wall() - age,
         )
         try:
             outcome = await GroupReservation(claim, self._owners).reserve()
