--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from verbenathread.scheduling.holds import Hold, HoldBook, memory_outlook
-from verbenathread.scheduling.queueing import Waiting, WaitQueue
+from verbenathread.scheduling.queueing import Waiting, WaitQueue, rank
 from verbenathread.scheduling.tuning import Tuning
 from verbenathread.scheduling.usage import ClassUse
 from verbenathread.types import LengthClass, Millis
@@ -37,9 +37,9 @@
             if hold.level <= waiting.level:
                 prefill += hold.prefill_left(self._now)
         missing = needed - self._holds.free
-        own_rank = self._queue.rank(waiting, self._now)
+        own_rank = rank(waiting)
         for other in self._queue:
-            if self._queue.rank(other, self._now) >= own_rank:
+            if rank(other) >= own_rank:
                 continue
             prefill += other.prefill
         memory = memory_outlook(self._holds, missing, self._now)
@@ -69,15 +69,15 @@
     ) -> None:
         """Count what is granted and has no first token yet."""
         self._tuning = tuning
+        # Long prompts are held back by their memory alone.
+        self._window_by_class = (tuning.short_window, tuning.middle_window, 0)
         self._prefill: list[float] = [0 for _ in LengthClass]
-        self._count = [0 for _ in LengthClass]
         self._short_only = False
         self._shut = False
         for hold in holds:
             if hold.first_token_at is not None:
                 continue
             self._prefill[hold.length] += hold.prefill_left(now)
-            self._count[hold.length] += 1
 
     def is_open(self, length: LengthClass) -> bool:
         """Tell whether a prompt of this class may go to the engine."""
@@ -87,15 +87,11 @@
             return self._in_window(length)
         if self._short_only:
             return False
-        if length == LengthClass.MIDDLE:
-            return self._in_window(length)
-        most = self._tuning.long_prefills
-        return not most or self._count[length] < most
+        return self._in_window(length)
 
     def count(self, waiting: Waiting) -> None:
         """Count one that is granted."""
         self._prefill[waiting.length] += waiting.prefill
-        self._count[waiting.length] += 1
 
     def close_for_longer(self) -> None:
         """Let only short ones pass one that waits for memory."""
@@ -103,9 +99,7 @@
         self._shut = not self._tuning.by_class
 
     def _in_window(self, length: LengthClass) -> bool:
-        window = self._tuning.middle_window
-        if length == LengthClass.SHORT:
-            window = self._tuning.short_window
+        window = self._window_by_class[length]
         return not window or self._prefill[length] < window
 
 
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -191,7 +191,7 @@
         Returns what it had started: the caller cancels each at the engine
         and releases it once the engine confirms.
         """
-        for waiting in self._queue.ordered(self._clock.now()):
+        for waiting in self._queue.ordered():
             if waiting.ask.entry_id == entry_id:
                 self._queue.remove(waiting.ask.attempt_id)
         started = []
@@ -266,11 +266,8 @@
                 'The queue of the engine is full; retry later.',
                 outlook.drain(),
             )
-        margin: float = 1
-        if waiting.length == LengthClass.LONG:
-            margin = self._tuning.long_margin
         expected = wait + outlook.service(waiting) + waiting.output
-        late = int(now + expected * margin) - ask.work.deadline
+        late = int(now + expected) - ask.work.deadline
         if self._tuning.refuse_late and late > 0:
             return Refusal(
                 RefusalReason.DEADLINE,
@@ -313,7 +310,7 @@
             return
         granter = Granter(self._book, self.policy, self._tuning, now)
         granter.protect(self._queue, self._promise)
-        for waiting in self._queue.ordered(now):
+        for waiting in self._queue.ordered():
             if granter.may_have(waiting):
                 self._grant(waiting, now)
 
--- a/verbenathread/scheduling/prefixes.py
+++ b/verbenathread/scheduling/prefixes.py
@@ -33,12 +33,16 @@
     hashes: frozenset[int]
 
 
+_UNKNOWN = _Index(0, frozenset())
+
+
 class PrefixIndex:
     """Cached prefixes by engine, as one entry heard of them."""
 
     def __init__(self) -> None:
         """Know of nothing cached."""
         self._index_by_id: dict[UpstreamId, _Index] = {}
+        self._holders_by_hash: dict[int, set[UpstreamId]] = {}
 
     def note(self, upstream_id: UpstreamId, event: CacheEvent) -> bool:
         """Take an event; False asks for a snapshot, as some were lost.
@@ -48,9 +52,7 @@
         known = self._index_by_id.get(upstream_id)
         if event.is_snapshot:
             if known is None or event.number >= known.number:
-                self._index_by_id[upstream_id] = _Index(
-                    event.number, frozenset(event.added)
-                )
+                self._put(upstream_id, event.number, frozenset(event.added))
             return True
         if known is None:
             return False
@@ -60,12 +62,22 @@
             self.forget(upstream_id)
             return False
         hashes = (known.hashes - set(event.removed)) | set(event.added)
-        self._index_by_id[upstream_id] = _Index(event.number, hashes)
+        self._put(upstream_id, event.number, hashes)
         return True
 
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drop what is known of an engine, as when it starts anew."""
-        self._index_by_id.pop(upstream_id, None)
+        if upstream_id in self._index_by_id:
+            self._put(upstream_id, 0, frozenset())
+            self._index_by_id.pop(upstream_id)
+
+    def holders(self, prefix_hashes: Sequence[int]) -> list[UpstreamId]:
+        """Return the engines with the longest prefix that any has cached."""
+        for prefix in reversed(prefix_hashes):
+            holders = self._holders_by_hash.get(prefix)
+            if holders:
+                return sorted(holders)
+        return []
 
     def cached_tokens(
         self, upstream_id: UpstreamId, prefix_hashes: Sequence[int]
@@ -76,6 +88,19 @@
             return 0
         return covered_tokens(prefix_hashes, known.hashes)
 
+    def _put(
+        self, upstream_id: UpstreamId, number: int, hashes: frozenset[int]
+    ) -> None:
+        known = self._index_by_id.get(upstream_id, _UNKNOWN)
+        for lost in known.hashes - hashes:
+            holders = self._holders_by_hash[lost]
+            holders.discard(upstream_id)
+            if not holders:
+                self._holders_by_hash.pop(lost)
+        for added in hashes - known.hashes:
+            self._holders_by_hash.setdefault(added, set()).add(upstream_id)
+        self._index_by_id[upstream_id] = _Index(number, hashes)
+
 
 def covered_tokens(prefix_hashes: Sequence[int], cached: Container[int]) -> int:
     """Return the tokens under the longest prefix that is cached."""
--- a/verbenathread/scheduling/queueing.py
+++ b/verbenathread/scheduling/queueing.py
@@ -1,4 +1,4 @@
-"""The queue of one engine: classes, ageing and fair shares."""
+"""The queue of one engine: levels of urgency and fair shares."""
 
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -48,12 +48,17 @@
     return Waiting(ask, length, prefill, now, level, output)
 
 
+def rank(waiting: Waiting) -> tuple[int, float, Millis, str]:
+    """Return the sort key of one ask; lower goes first."""
+    level = waiting.level
+    return level, waiting.finish, waiting.since, waiting.ask.attempt_id
+
+
 class WaitQueue:
     """Asks in the order in which memory goes to them.
 
     Between accounts the order is self-clocked fair queueing by weight
-    (Golestani 1994); between classes shorter goes first, and waiting makes
-    any request more urgent.
+    (Golestani 1994), where that is on; between levels shorter goes first.
     """
 
     def __init__(self, tuning: Tuning) -> None:
@@ -97,18 +102,6 @@
             self._virtual = max(self._virtual, waiting.finish)
         return waiting
 
-    def ordered(self, now: Millis) -> list[Waiting]:
+    def ordered(self) -> list[Waiting]:
         """Return all that wait, the most urgent first."""
-        return sorted(
-            self._by_attempt.values(),
-            key=lambda waiting: self.rank(waiting, now),
-        )
-
-    def rank(
-        self, waiting: Waiting, now: Millis
-    ) -> tuple[int, float, Millis, str]:
-        """Return the sort key of one ask."""
-        urgency = waiting.level
-        if self._tuning.ageing:
-            urgency -= (now - waiting.since) // self._tuning.ageing
-        return urgency, waiting.finish, waiting.since, waiting.ask.attempt_id
+        return sorted(self._by_attempt.values(), key=rank)
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -1,5 +1,6 @@
 """Choice of engines by one entry, from late load reports and own sends."""
 
+import bisect
 import random
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
@@ -7,7 +8,6 @@
 from verbenathread.scheduling.classes import length_class
 from verbenathread.scheduling.messages import EngineReport
 from verbenathread.scheduling.prefixes import PrefixIndex
-from verbenathread.scheduling.roles import EngineRoles
 from verbenathread.scheduling.tuning import CURRENT, Tuning
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
@@ -30,8 +30,8 @@
 # A more urgent prompt waits for the end of a chunk of one that runs.
 _CHUNK_WAIT: Millis = 15
 _LONG = LengthClass.LONG
-# Least engines set apart for long prompts: the largest usual group.
-_LEAST_APART = 3
+# Engines drawn among those that have the prompt's beginning cached.
+_HOLDERS = 2
 
 
 class _Sent(NamedTuple):
@@ -74,8 +74,7 @@
         self.looked_at = 0
         self._rng = rng
         self._tuning = tuning
-        self._prefixes = prefixes
-        self._roles = EngineRoles()
+        self._prefixes = prefixes or PrefixIndex()
         self._seen_by_id: dict[UpstreamId, _Seen] = {}
 
     def choose(
@@ -88,14 +87,15 @@
     ) -> list[UpstreamId]:
         """Return sampled engines, the one with the least wait first.
 
-        ``records`` are the engines of the service in one order on every
-        entry; those in ``failed`` are passed over. A group needs at least
+        ``records`` are the engines of the service by their identifier; those in ``failed`` are passed over. A group needs at least
         ``least`` engines, and gets a sample of more.
         """
         wanted = self.policy.candidates + len(failed) + 2 * (least - 1)
         sample = [
             record
-            for record in self._sample(work, records, wanted, least)
+            for record in self._with_holders(
+                work, records, self._sample(records, wanted)
+            )
             if record.upstream_id not in failed
         ]
         scored = [
@@ -109,7 +109,6 @@
         seen = self._seen_by_id.get(report.upstream_id, _UNSEEN)
         fresh = tuple(sent for sent in seen.sent if sent.at > now - REPORT_LAG)
         self._seen_by_id[report.upstream_id] = _Seen(report, now, fresh)
-        self._roles.note(report, now)
 
     def note_sent(
         self, upstream_id: UpstreamId, work: Work, now: Millis
@@ -136,30 +135,13 @@
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drop what is known of an engine that is gone."""
         self._seen_by_id.pop(upstream_id, None)
-        self._roles.forget(upstream_id)
 
     def _sample(
-        self,
-        work: Work,
-        records: Sequence[UpstreamRecord],
-        wanted: int,
-        least: int,
+        self, records: Sequence[UpstreamRecord], wanted: int
     ) -> list[UpstreamRecord]:
-        """Draw engines from those that take prompts of this length.
-
-        The last engines take long prompts and the first ones the others;
-        a group that is larger than its part draws from all.
-        """
-        begin, end = 0, len(records)
-        if self._tuning.long_apart:
-            apart = self._roles.long_count(end, _LEAST_APART)
-            if length_class(work.prompt_tokens, self.policy) == _LONG:
-                begin = end - apart
-        if end - begin < least or end <= begin:
-            begin, end = 0, len(records)
-        count = min(end - begin, wanted)
+        count = min(len(records), wanted)
         self.looked_at += count
-        drawn = self._rng.sample(range(begin, end), count)
+        drawn = self._rng.sample(range(len(records)), count)
         return [records[position] for position in drawn]
 
     def _expected(
@@ -169,6 +151,7 @@
         seen = self._seen_by_id.get(record.upstream_id, _UNSEEN)
         length = length_class(work.prompt_tokens, self.policy)
         prefill = self._prefill(seen, work.prompt_tokens)
+        cached = self._cached(work, record)
         free = record.memory_tokens
         wait: float = 0
         if seen.report is not None:
@@ -185,10 +168,46 @@
         needed = work.prompt_tokens + work.most_output_tokens
         if needed > free:
             wait += _MEMORY_WAIT * (needed - free) / needed
-        return wait + prefill
+        return wait + prefill - self._prefill(seen, cached)
+
+    def _cached(self, work: Work, record: UpstreamRecord) -> int:
+        """Return the leading tokens that the engine has cached."""
+        if not self._has_affinity(work):
+            return 0
+        return self._prefixes.cached_tokens(
+            record.upstream_id, work.prefix_hashes
+        )
+
+    def _has_affinity(self, work: Work) -> bool:
+        length = length_class(work.prompt_tokens, self.policy)
+        return self._tuning.affinity and length != _LONG
+
+    def _with_holders(
+        self,
+        work: Work,
+        records: Sequence[UpstreamRecord],
+        sample: list[UpstreamRecord],
+    ) -> list[UpstreamRecord]:
+        """Add a few engines that have the beginning of the prompt cached."""
+        if not self._has_affinity(work):
+            return sample
+        holders = self._prefixes.holders(work.prefix_hashes)
+        drawn = self._rng.sample(holders, min(_HOLDERS, len(holders)))
+        known = {record.upstream_id for record in sample}
+        for upstream_id in drawn:
+            place = bisect.bisect_left(records, upstream_id, key=_upstream_id)
+            if upstream_id in known or place == len(records):
+                continue
+            if records[place].upstream_id == upstream_id:
+                sample.append(records[place])
+        return sample
 
     def _prefill(self, seen: _Seen, tokens: int) -> float:
         sample_us = _FIRST_PREFILL_US
         if seen.report is not None:
             sample_us = seen.report.prefill_us
         return tokens * sample_us / _TOKENS_PER_SAMPLE / _US_PER_MS
+
+
+def _upstream_id(record: UpstreamRecord) -> UpstreamId:
+    return record.upstream_id
--- a/verbenathread/scheduling/tuning.py
+++ b/verbenathread/scheduling/tuning.py
@@ -18,19 +18,13 @@
     # waits in the ledger, where it can still go elsewhere. 0 lets all through.
     short_window: Millis = 0
     middle_window: Millis = 0
-    # Long prompts that one engine prefills at a time; 0 is no limit.
-    long_prefills: int = 0
-    # Waiting that makes a request one class more urgent; 0 is no ageing.
-    ageing: Millis = 0
     # Protect the oldest long ask; others pass if they do not delay it.
     backfill: bool = False
     # Order between accounts by weighted fair shares.
     fair_shares: bool = False
-    # Keep long prompts on their own share of the engines.
-    long_apart: bool = False
     # Order within and between classes by size: one level each doubling.
     by_size: bool = False
-    # Engine priority follows the length class.
+    # Engine priority follows the level of urgency.
     priorities: bool = True
     # Refuse on arrival what can't finish in time.
     refuse_late: bool = True
@@ -39,8 +33,6 @@
     # Look for another engine after this share of the wait that was expected;
     # 0 is never.
     look_again: float = 0
-    # Time that a long prompt must have, as a multiple of what is expected.
-    long_margin: float = 1
     # Expect memory to come back later, too, beside more urgent prompts.
     slowed_memory: bool = False
     # Ask the next engine when the first one's wait is over this; 0 is never.
@@ -50,16 +42,16 @@
 # The first policy that ran; replays keep it as a baseline.
 PREVIOUS = Tuning()
 _PATIENCE: Millis = 50
-_MARGIN = 1.5
+_LOOK_AGAIN = 1.5
 _SHORT_WINDOW: Millis = 100
 _MIDDLE_WINDOW: Millis = 300
 CURRENT = PREVIOUS._replace(
     short_window=_SHORT_WINDOW,
     middle_window=_MIDDLE_WINDOW,
     by_size=True,
+    fair_shares=True,
     second_ask=_PATIENCE,
     backfill=True,
-    look_again=_MARGIN,
-    long_margin=_MARGIN,
+    look_again=_LOOK_AGAIN,
     slowed_memory=True,
 )
