--- /dev/null
+++ b/tools/bench_decisions.py
@@ -0,0 +1,163 @@
+"""Processor time per decision, by known workers and client accounts.
+
+Figures, not a verdict: run it on a quiet machine.
+"""
+
+import argparse
+import json
+import random
+import sys
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from verbenathread.clock import ManualClock
+from verbenathread.replay.deployment import TILLERY, engine_records
+from verbenathread.replay.replay import default_policy
+from verbenathread.scheduling.admission import Admission
+from verbenathread.scheduling.ledger import EngineLedger
+from verbenathread.scheduling.limits import AccountLimiter
+from verbenathread.scheduling.messages import Ask
+from verbenathread.scheduling.router import Router
+from verbenathread.schema import settings_pb2
+from verbenathread.types import Reservation, UpstreamRecord, Work
+
+_WORKERS = (20, 200, 4000)
+_ACCOUNTS = (10, 570)
+_ROUNDS = 2000
+_ENTRIES = 9
+_PROMPT = 3000
+_OUTPUT = 200
+_LIMIT: int = 60000
+_US_PER_S = 1e6
+_LIMITS = settings_pb2.AccountSettings(
+    requests_per_second=1e6, tokens_per_second=1e12, long_prompts=100
+)
+
+
+class Cost(NamedTuple):
+    """Processor time of one kind of decision."""
+
+    decision: str
+    workers: int
+    accounts: int
+    microseconds: float
+
+
+def _work(number: int, accounts: int) -> Work:
+    return Work(
+        request_id=f'r{number}',
+        account=f'a{number % accounts}',
+        service='model',
+        prompt_tokens=_PROMPT,
+        most_output_tokens=_OUTPUT,
+        expected_output_tokens=_OUTPUT,
+        deadline=number + _LIMIT,
+        arrival=number,
+    )
+
+
+def _timed(action: Callable[[int], object]) -> float:
+    """Return microseconds of processor time of one call."""
+    begin = time.process_time()
+    for number in range(_ROUNDS):
+        action(number)
+    return (time.process_time() - begin) / _ROUNDS * _US_PER_S
+
+
+def _choice(records: tuple[UpstreamRecord, ...]) -> Callable[[int], object]:
+    router = Router(default_policy(), random.Random(1))
+    clock = ManualClock()
+    for record in records:
+        ledger = EngineLedger(
+            record.upstream_id, record.memory_tokens, router.policy, clock
+        )
+        router.note_report(ledger.report(), 0)
+
+    def choose(number: int) -> None:  # noqa: WPS430 - the call to be timed.
+        work = _work(number, 1)
+        first = router.choose(work, records, number)[0]
+        router.note_sent(first, work, number)
+        router.note_done(first, work)
+
+    return choose
+
+
+def _admission(
+    records: tuple[UpstreamRecord, ...], accounts: int
+) -> Callable[[int], object]:
+    admission = Admission(AccountLimiter(_ENTRIES, 0))
+    policy = default_policy()
+
+    def admit(number: int) -> None:  # noqa: WPS430 - the call to be timed.
+        work = _work(number, accounts)
+        admission.admit(work, _LIMITS, policy, records, number)
+        admission.done(work, policy, _OUTPUT, number)
+
+    return admit
+
+
+def _reservation() -> Callable[[int], object]:
+    """Return one request's calls on a ledger that keeps forty others."""
+    clock = ManualClock()
+    ledger = EngineLedger(
+        'e1', TILLERY.rates.memory_tokens, default_policy(), clock
+    )
+    for number in range(-40, 0):
+        answer = ledger.ask(_ask(number))
+        if isinstance(answer, Reservation):
+            ledger.started(answer.reservation_id)
+            ledger.progress(answer.reservation_id, 1)
+
+    def reserve(number: int) -> None:  # noqa: WPS430 - the call to be timed.
+        clock.advance(1)
+        answer = ledger.ask(_ask(number))
+        if isinstance(answer, Reservation):
+            ledger.started(answer.reservation_id)
+            ledger.progress(answer.reservation_id, 1)
+            ledger.release(answer.reservation_id, _OUTPUT)
+        ledger.ready()
+
+    return reserve
+
+
+def _ask(number: int) -> Ask:
+    work = _work(number, 1)._replace(deadline=_LIMIT * _ROUNDS)
+    return Ask(work, work.request_id, 'n1', _PROMPT + _OUTPUT)
+
+
+def measure() -> list[Cost]:
+    """Return the cost of every decision at every size."""
+    costs = []
+    for workers in _WORKERS:
+        records = engine_records(TILLERY._replace(engines=workers))
+        for accounts in _ACCOUNTS:
+            admit = _timed(_admission(records, accounts))
+            costs.append(Cost('admit', workers, accounts, admit))
+        choose = _timed(_choice(records))
+        costs.append(Cost('choose an engine', workers, 1, choose))
+    reserve = _timed(_reservation())
+    costs.append(Cost('reserve to release, 40 held', 1, 1, reserve))
+    return costs
+
+
+def main() -> int:
+    """Print the cost of every decision."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--json', action='store_true', help='print JSON')
+    options = parser.parse_args()
+    costs = measure()
+    if options.json:
+        plain = [cost._asdict() for cost in costs]
+        sys.stdout.write(f'{json.dumps(plain, indent=1)}\n')
+        return 0
+    for cost in costs:
+        sys.stdout.write(
+            f'{cost.decision}: {cost.workers} workers, '
+            f'{cost.accounts} accounts: {cost.microseconds:.0f} us\n'
+        )
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/make_trace.py
@@ -0,0 +1,37 @@
+"""Write a generated trace: a deployment's mix at a share of capacity."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from verbenathread.replay.deployment import DEPLOYMENT_BY_NAME
+from verbenathread.replay.generator import (
+    MIX_BY_DEPLOYMENT,
+    Generator,
+    Shape,
+)
+from verbenathread.replay.trace import write_trace
+
+_MS = 1000
+
+
+def main() -> int:
+    """Write the trace that the command line describes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('path', type=Path, help='ends in .jsonl or .jsonl.gz')
+    parser.add_argument('deployment', choices=sorted(DEPLOYMENT_BY_NAME))
+    parser.add_argument('--load', type=float, default=0.8)
+    parser.add_argument('--seconds', type=int, default=30)
+    parser.add_argument('--seed', type=int, default=7)
+    options = parser.parse_args()
+    deployment = DEPLOYMENT_BY_NAME[options.deployment]
+    mix = MIX_BY_DEPLOYMENT[options.deployment]
+    shape = Shape(options.load, options.seconds * _MS, options.seed)
+    requests = Generator(deployment, mix, shape).requests()
+    write_trace(options.path, requests)
+    sys.stdout.write(f'{len(requests)} requests in {options.path}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
