Let a successor cancel what a killed entry left at engines

Cause: reconciliation read only engines that the process had used itself, so a restarted entry without traffic left its earlier holds for ever. After: it reads every engine it knows 1 s after its start and every 10 s; an entry killed by SIGKILL in the middle of a stream leaves nothing once its successor runs. Also tested: a reader that stops reads 45,000 tokens in order afterwards. The gauge of waiting requests counts. Ruled out: releasing when the connection breaks; the engine can't tell a broken connection from a slow one. Conclusion: holds of a node that never comes back are left to the engine's leaseholder.

--- a/verbenathread/entry/callers_side.py
+++ b/verbenathread/entry/callers_side.py
@@ -3,6 +3,7 @@
 It is wired from ports only, so it can be embedded with other neighbours.
 """
 
+from functools import partial
 from typing import NamedTuple
 
 from verbenathread.clock import Clock, SystemClock
@@ -31,7 +32,12 @@
 from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
-from verbenathread.types import Address, Millis
+from verbenathread.types import (
+    Address,
+    Millis,
+    UpstreamKind,
+    UpstreamRecord,
+)
 
 
 class Ports(NamedTuple):
@@ -74,6 +80,7 @@
             ports.upstreams,
             owner,
             clock,
+            partial(_known_engines, ports),
         )
         self.settler = Settler(ports.claims, clock)
         self.budget = BodyBudget(limits.buffered_bytes)
@@ -122,6 +129,7 @@
             ports.upstreams,
             self.reaper,
             self._pump,
+            metrics,
             owner,
             self._clock,
         )
@@ -156,3 +164,12 @@
         metrics.buffered.set_function(lambda: self.budget.held)
         metrics.revision.set_function(ports.settings.revision)
         metrics.unconfirmed_cancels.set_function(lambda: self.reaper.pending)
+
+
+def _known_engines(ports: Ports) -> tuple[UpstreamRecord, ...]:
+    found: list[UpstreamRecord] = []
+    for name in ports.settings.service_names():
+        for record in ports.upstreams.by_service(name):
+            if record.kind == UpstreamKind.ENGINE:
+                found.append(record)
+    return tuple(found)
--- a/verbenathread/entry/reaper.py
+++ b/verbenathread/entry/reaper.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import threading
+from collections.abc import Callable
 from typing import NamedTuple
 
 from verbenathread.clock import Clock, seconds
@@ -33,6 +34,7 @@
 _LONGEST_WAIT = 2000
 # An engine that did not answer a cancel is left alone this long.
 _SILENT_WAIT = 1000
+_FIRST_RECONCILE = 1000
 _RECONCILE_EVERY = 10_000
 _IDLE_WAIT = 500
 _ENGINE_ERRORS = (EngineBrokenError, EngineNotRunError, EngineRejectedError)
@@ -60,8 +62,14 @@
         upstreams: Upstreams,
         owner: Owner,
         clock: Clock,
+        known_engines: Callable[[], tuple[UpstreamRecord, ...]] = tuple,
     ) -> None:
-        """Start nothing before :meth:`start`."""
+        """Start nothing before :meth:`start`.
+
+        ``known_engines`` names those that an earlier incarnation of this
+        node may have used; the ones used since are known here.
+        """
+        self._known_engines = known_engines
         self._client = client
         self._reservations = reservations
         self._upstreams = upstreams
@@ -72,7 +80,7 @@
         self._live_attempts: set[str] = set()
         self._engine_by_id: dict[str, UpstreamRecord] = {}
         self._silent_until_by_id: dict[str, Millis] = {}
-        self._next_reconcile: Millis = clock.now() + _RECONCILE_EVERY
+        self._next_reconcile: Millis = clock.now() + _FIRST_RECONCILE
         self._changed = threading.Condition()
         self._stopping = False
         self._thread = threading.Thread(
@@ -233,8 +241,10 @@
             return
         self._next_reconcile = now + _RECONCILE_EVERY
         with self._changed:
-            engines = tuple(self._engine_by_id.values())
-        for engine in engines:
+            engine_by_id = dict(self._engine_by_id)
+        for engine in self._known_engines():
+            engine_by_id[engine.upstream_id] = engine
+        for engine in engine_by_id.values():
             self._reconcile_one(engine)
 
     def _reconcile_one(self, engine: UpstreamRecord) -> None:
--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -33,6 +33,7 @@
 from verbenathread.entry.replies import CallerError, RunState, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
 from verbenathread.observability.logs import get_logger
+from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import settings_pb2
 from verbenathread.types import Refusal, Reservation, UpstreamRecord, Work
 
@@ -77,6 +78,7 @@
     upstreams: Upstreams
     reaper: Reaper
     pump: Pump
+    metrics: EntryMetrics
     owner: Owner
     clock: Clock
 
@@ -176,7 +178,9 @@
         attempt_id = uuid.uuid4().hex
         work = self._request.work
         gone = self._request.gone
-        with gone.acting(lambda: self._ports.reservations.abandon(work)):
+        waiting = self._ports.metrics.waiting.track_inprogress()
+        abandon = partial(self._ports.reservations.abandon, work)
+        with waiting, gone.acting(abandon):
             granted = self._ports.reservations.reserve(work, attempt_id)
         if isinstance(granted, Refusal):
             self._check_gone()
