Bind limits, retry budgets and outliers into the running entry

Cause: the limiter, the retry policy and the outlier tracker were proved in replay and called by no daemon: a live account had no limit at all, and each request retried up to its attempts whatever the outage. Ruled out: usage sent whole with each message (bytes grow with accounts); parts without a whole first (a restarted entry charged totals of long ago as one burst); a least budget of 3 retries (an engine's death breaks more streams than that at one entry at once), now 10. Before: no usage told, no budget. After: one account flooding 3 entries stays within the bound that scheduling/limits.py states, also with every third message or reply lost, and entries cut off from one another keep to their even shares. Conclusion: the live entry and the replay decide by the same parts.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -28,6 +28,24 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+class FakeAdmissions:
+    """Admits all but what ``refusal`` says; counts what is in progress."""
+
+    def __init__(self):
+        self.refusal = None
+        self.running = 0
+
+    def admit(self, work, account):
+        self.running += self.refusal is None
+        return self.refusal
+
+    def admit_call(self, name, account):
+        return self.refusal
+
+    def done(self, work, output_tokens):
+        self.running -= 1
+
+
 class FakeSettings:
     """One account, one model and one plain service."""
 
@@ -65,8 +83,9 @@
         return tuple(sorted(self.service_by_name))
 
     def policy(self, service):
+        # Every request of these tests meets a fault, so each earns a retry.
         return settings_pb2.PolicySettings(
-            retry_base=5, attempts=4, retry_share=0.1
+            retry_base=5, attempts=4, retry_share=1
         )
 
 
@@ -261,11 +280,16 @@
         self.upstreams = FakeUpstreams()
         self.reservations = reservations(self.upstreams)
         self.claims = claims or FakeClaims()
+        self.admissions = FakeAdmissions()
         self.metrics = EntryMetrics()
         self.side = CallersSide(
             Address('127.0.0.1', 0),
             Ports(
-                self.settings, self.upstreams, self.reservations, self.claims
+                self.settings,
+                self.upstreams,
+                self.reservations,
+                self.claims,
+                self.admissions,
             ),
             Owner('entry-1', incarnation),
             limits,
--- /dev/null
+++ b/tests/test_entry_admissions.py
@@ -0,0 +1,156 @@
+"""Tests of limits over the entries of a cell, and of retry budgets."""
+
+import random
+import unittest
+
+from verbenathread.clock import ManualClock
+from verbenathread.entry.admissions import CellAdmissions
+from verbenathread.entry.retry_budgets import RetryBudgets
+from verbenathread.scheduling.limits import BURST, LOCAL_SHARE
+from verbenathread.scheduling.retries import Retry
+from verbenathread.schema import peer_pb2, settings_pb2
+from verbenathread.settings.rules import fill_defaults
+from verbenathread.types import Outcome, RefusalReason
+
+ENTRIES = 3
+RATE = 30
+SECONDS = 20
+STEP_MS = 10
+
+
+class Policies:
+    def policy(self, service):
+        policy = settings_pb2.PolicySettings()
+        fill_defaults(policy)
+        return policy
+
+
+class CellOfAdmissions:
+    """Entries that exchange messages once a second, some of them lost."""
+
+    def __init__(self, loses):
+        self.clock = ManualClock()
+        self.loses = loses
+        self.by_id = {f'e{number}': self.make() for number in range(ENTRIES)}
+        self.incarnation_by_id = dict.fromkeys(self.by_id, 1)
+        self.exchanges = 0
+        self.account = settings_pb2.AccountSettings()
+        fill_defaults(self.account)
+        self.account.requests_per_second = RATE
+
+    def make(self):
+        return CellAdmissions(ENTRIES, Policies(), self.clock)
+
+    def restart(self, node_id):
+        self.by_id[node_id] = self.make()
+        self.incarnation_by_id[node_id] += 1
+
+    def exchange(self):
+        for node_id, sender in self.by_id.items():
+            for peer_id, receiver in self.by_id.items():
+                if peer_id != node_id:
+                    self.send(node_id, sender, peer_id, receiver)
+
+    def send(self, node_id, sender, peer_id, receiver):
+        self.exchanges += 1
+        message = peer_pb2.PeerMessage(node_id=node_id)
+        sender.compose(peer_id, message)
+        kind = self.loses(self.exchanges)
+        if kind == 'message':
+            return
+        reply = peer_pb2.PeerReply(
+            node_id=peer_id, incarnation=self.incarnation_by_id[peer_id]
+        )
+        receiver.answer(message, reply)
+        if kind != 'reply':
+            sender.absorb(peer_id, message, reply)
+
+    def run(self, seconds, restart_at=None):
+        """Ask at every entry at every step; return how many were admitted."""
+        admitted = 0
+        for step in range(seconds * 1000 // STEP_MS):
+            if step * STEP_MS == restart_at:
+                self.restart('e0')
+            if step * STEP_MS % 1000 == 0:
+                self.exchange()
+            for entry in self.by_id.values():
+                refusal = entry.admit_call('flood', self.account)
+                admitted += refusal is None
+            self.clock.advance(STEP_MS)
+        return admitted
+
+
+def nothing(number):
+    return ''
+
+
+def every_third_reply(number):
+    return 'reply' if number % 3 == 0 else ''
+
+
+def every_third_message(number):
+    return 'message' if number % 3 == 0 else ''
+
+
+def all_lost(number):
+    return 'message'
+
+
+class CellAdmissionsTest(unittest.TestCase):
+    def test_flooding_account_stays_within_the_bound(self):
+        # The bound that scheduling.limits states, the lag being 2 s here.
+        lag = 2 * 1000
+        bound = (
+            RATE * (SECONDS * 1000 + BURST + LOCAL_SHARE * (BURST + lag)) / 1000
+        ) + ENTRIES
+        for loses in (nothing, every_third_reply, every_third_message):
+            with self.subTest(loses=loses.__name__):
+                admitted = CellOfAdmissions(loses).run(SECONDS)
+                self.assertLessEqual(admitted, bound)
+                # The limit is there to be used too.
+                self.assertGreater(admitted, RATE * SECONDS * 0.8)
+
+    def test_cut_off_entries_keep_to_their_even_shares(self):
+        admitted = CellOfAdmissions(all_lost).run(SECONDS)
+        bound = RATE * (SECONDS + LOCAL_SHARE * (BURST + 5000) / 1000)
+        self.assertLessEqual(admitted, bound + ENTRIES)
+
+    def test_a_restarted_entry_is_told_anew(self):
+        cell = CellOfAdmissions(nothing)
+        before = cell.run(SECONDS)
+        after = cell.run(SECONDS, restart_at=0)
+        # One burst of the new entry, and no debt from totals of long ago.
+        self.assertLess(abs(after - before), RATE * BURST / 1000 * 2)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        cell = CellOfAdmissions(nothing)
+        answers = [
+            cell.by_id['e1'].admit_call('flood', cell.account)
+            for _ in range(RATE * 10)
+        ]
+        refusal = answers[-1]
+        self.assertEqual(refusal.reason, RefusalReason.ACCOUNT_LIMIT)
+        cell.clock.advance(refusal.retry_after + 1)
+        again = cell.by_id['e1'].admit_call('flood', cell.account)
+        self.assertIsNone(again)
+
+
+class RetryBudgetsTest(unittest.TestCase):
+    def test_an_outage_spends_its_own_budget(self):
+        budgets = RetryBudgets(ManualClock(), random.Random(1))
+        policy = Policies().policy('')
+        attempts = 0
+        requests = 1000
+        for service in ('dead', 'other'):
+            budgets.first(service, policy)
+        for _ in range(requests):
+            budgets.first('dead', policy)
+            made = 1
+            while isinstance(
+                budgets.next('dead', made, Outcome.NOT_RUN, 60_000), Retry
+            ):
+                made += 1
+            attempts += made
+        self.assertLessEqual(attempts, requests * (1 + policy.retry_share) + 50)
+        retry = budgets.next('other', 1, Outcome.UNKNOWN, 60_000)
+        self.assertIsInstance(retry, Retry)
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -11,6 +11,7 @@
 
 from tests.entry_fakes import (
     CALLER_KEY,
+    FakeAdmissions,
     FakeClaims,
     FakeSettings,
     FakeUpstreams,
@@ -37,7 +38,11 @@
     def __init__(self):
         upstreams = FakeUpstreams()
         self.ports = Ports(
-            FakeSettings(), upstreams, PassingOver(upstreams), FakeClaims()
+            FakeSettings(),
+            upstreams,
+            PassingOver(upstreams),
+            FakeClaims(),
+            FakeAdmissions(),
         )
         self.is_ready = False
         self.stops = 0
--- a/tests/test_scheduling_failures.py
+++ b/tests/test_scheduling_failures.py
@@ -19,14 +19,16 @@
     def test_a_total_outage_does_not_multiply_load(self):
         policy = default_policy()
         retries = RetryPolicy(policy, random.Random(1))
-        work = make_work('r', 1000)
+        deadline = make_work('r', 1000).deadline
         attempts = 0
         requests = 2000
         for _ in range(requests):
             retries.note_first()
             made = 1
             while isinstance(
-                retries.next(work, made, Outcome.NOT_RUN, 0, repeatable=True),
+                retries.next(
+                    deadline, made, Outcome.NOT_RUN, 0, repeatable=True
+                ),
                 Retry,
             ):
                 made += 1
@@ -46,7 +48,7 @@
                 outcome, repeatable, made, now, expected = case
                 retries = RetryPolicy(default_policy(), random.Random(1))
                 answer = retries.next(
-                    make_work('r', 1000),
+                    make_work('r', 1000).deadline,
                     made,
                     outcome,
                     now,
--- /dev/null
+++ b/verbenathread/entry/admissions.py
@@ -0,0 +1,150 @@
+"""Admission at this entry, and usage of accounts told to the cell.
+
+Worker threads ask for admission while the event loop hears of the others'
+usage, so one lock guards the limiter.
+"""
+
+import threading
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from verbenathread.clock import Clock
+from verbenathread.scheduling.admission import Admission
+from verbenathread.scheduling.limits import AccountLimiter, AccountUsage
+from verbenathread.schema import peer_pb2, settings_pb2
+from verbenathread.types import Millis, NodeId, Refusal, UpstreamRecord, Work
+
+# Usage is told to a peer this often at most.
+USAGE_EVERY: Millis = 1000
+
+
+class PolicySource(Protocol):
+    """The policies in force."""
+
+    def policy(self, service: str) -> settings_pb2.PolicySettings:
+        """Return the policy of the branch that holds the service."""
+
+
+class ReadyUpstreams(Protocol):
+    """The upstreams that may get new work."""
+
+    def ready(self, service: str) -> Sequence[UpstreamRecord]:
+        """Return those of one service."""
+
+
+class _Told(NamedTuple):
+    """What a peer has confirmed to know."""
+
+    incarnation: int
+    at: Millis
+    usage_by_account: dict[str, AccountUsage]
+
+
+class CellAdmissions:
+    """Admits within the limits of each account over all entries of a cell."""
+
+    def __init__(
+        self, entries: int, policies: PolicySource, clock: Clock
+    ) -> None:
+        """Share each limit among ``entries``; nothing is admitted yet."""
+        self._policies = policies
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._limiter = AccountLimiter(entries, clock.now())
+        self._admission = Admission(self._limiter)
+        self._upstreams: ReadyUpstreams | None = None
+        self._told_by_peer: dict[NodeId, _Told] = {}
+        # Peers that have told all their usage since this entry started.
+        self._heard_ids: set[NodeId] = set()
+
+    def connect(self, upstreams: ReadyUpstreams) -> None:
+        """Refuse at once what the upstreams can't serve together."""
+        self._upstreams = upstreams
+
+    def admit(
+        self, work: Work, account: settings_pb2.AccountSettings
+    ) -> Refusal | None:
+        """Count one model request, or refuse it and say when to come back."""
+        records: Sequence[UpstreamRecord] = ()
+        if self._upstreams is not None:
+            records = self._upstreams.ready(work.service)
+        policy = self._policies.policy(work.service)
+        with self._lock:
+            return self._admission.admit(
+                work, account, policy, records, self._clock.now()
+            )
+
+    def done(self, work: Work, output_tokens: int) -> None:
+        """Note the end of an admitted request, however it ended."""
+        policy = self._policies.policy(work.service)
+        with self._lock:
+            self._admission.done(work, policy, output_tokens, self._clock.now())
+
+    def admit_call(
+        self, name: str, account: settings_pb2.AccountSettings
+    ) -> Refusal | None:
+        """Count one call of a plain service, which has no tokens."""
+        with self._lock:
+            return self._limiter.admit(
+                name, account, 0, self._clock.now(), is_long=False
+            )
+
+    def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
+        """Put in the usage that changed since a peer was last told."""
+        told = self._told_by_peer.get(peer_id)
+        now = self._clock.now()
+        if told is not None and now - told.at < USAGE_EVERY:
+            return
+        message.usages_whole = told is None
+        with self._lock:
+            usages = self._limiter.usage()
+        for usage in usages:
+            if (
+                told is None
+                or told.usage_by_account.get(usage.account) != usage
+            ):
+                message.usages.append(peer_pb2.AccountUse(**usage._asdict()))
+
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
+        """Count what a peer admitted; its silence counts as no change.
+
+        A part is of no use before the whole that it changes.
+        """
+        if message.usages_whole:
+            self._heard_ids.add(message.node_id)
+        if message.node_id not in self._heard_ids:
+            return
+        with self._lock:
+            self._limiter.note_usage(
+                message.node_id, _usages_of(message), self._clock.now()
+            )
+
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Note what a peer has been told; one that restarted knows nothing."""
+        told = self._told_by_peer.get(peer_id)
+        if told is not None and told.incarnation != reply.incarnation:
+            self._told_by_peer.pop(peer_id)
+            return
+        if told is None:
+            if not message.usages_whole:
+                return
+            told = _Told(reply.incarnation, 0, {})
+        usage_by_account = told.usage_by_account
+        for usage in _usages_of(message):
+            usage_by_account[usage.account] = usage
+        at = self._clock.now() if message.usages else told.at
+        self._told_by_peer[peer_id] = told._replace(at=at)
+
+
+def _usages_of(message: peer_pb2.PeerMessage) -> list[AccountUsage]:
+    return [
+        AccountUsage(use.account, use.requests, use.tokens, use.long_running)
+        for use in message.usages
+    ]
--- a/verbenathread/entry/callers_side.py
+++ b/verbenathread/entry/callers_side.py
@@ -20,6 +20,7 @@
 from verbenathread.entry.plain_exchange import PlainClient
 from verbenathread.entry.plain_service import PlainParts, PlainService
 from verbenathread.entry.ports import (
+    Admissions,
     Claims,
     Reservations,
     SharedSettings,
@@ -28,6 +29,7 @@
 from verbenathread.entry.pump import Pump
 from verbenathread.entry.reaper import Reaper
 from verbenathread.entry.relay import RelayPorts
+from verbenathread.entry.retry_budgets import RetryBudgets
 from verbenathread.entry.settler import Settler
 from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics
@@ -47,6 +49,7 @@
     upstreams: Upstreams
     reservations: Reservations
     claims: Claims
+    admissions: Admissions
 
 
 class CallersSide:
@@ -123,18 +126,21 @@
     def _services(
         self, ports: Ports, owner: Owner, metrics: EntryMetrics
     ) -> Services:
+        retries = RetryBudgets(self._clock)
         relay = RelayPorts(
             self.engine_client,
             ports.reservations,
             ports.upstreams,
             self.reaper,
             self._pump,
+            retries,
             metrics,
             owner,
             self._clock,
         )
         models = ModelParts(
             ports.settings,
+            ports.admissions,
             relay,
             self.watch,
             metrics,
@@ -147,6 +153,8 @@
             ports.settings,
             ports.upstreams,
             ports.claims,
+            ports.admissions,
+            retries,
             self.settler,
             PlainClient(self._pool),
             self.watch,
--- a/verbenathread/entry/fabric.py
+++ b/verbenathread/entry/fabric.py
@@ -70,6 +70,7 @@
             BlockingUpstreams(self._node.cell, self._loop),
             BlockingReservations(self._node.reservations, self._loop, clock),
             BlockingClaims(self._node.claims, self._loop),
+            self._node.admissions,
         )
 
     def start(self) -> None:
--- a/verbenathread/entry/fabric_node.py
+++ b/verbenathread/entry/fabric_node.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from verbenathread.clock import Clock, seconds
+from verbenathread.entry.admissions import CellAdmissions
 from verbenathread.entry.claims import ClaimsClient
 from verbenathread.entry.engine_owners import EngineOwners
 from verbenathread.entry.hold_outbox import HoldOutbox
@@ -62,6 +63,7 @@
         others = [peer for peer in peers if peer.node_id != settings.node.id]
         self._channels = channels or PeerChannels(others, access)
         self._loads = LoadReports(clock)
+        self.admissions = CellAdmissions(len(peers), shared, clock)
         self._fetch = TreeFetch(shared, self._channels)
         self.cell = Cell(
             NodeIdentity(
@@ -82,7 +84,8 @@
             self.cell, self.owners, self.outbox, shared, clock, context.rng
         )
         self._loads.connect(self.cell.table, self.reservations)
-        self.cell.carry(self._loads, self._fetch, self.outbox)
+        self.admissions.connect(self.cell.table)
+        self.cell.carry(self._loads, self._fetch, self.outbox, self.admissions)
         addresses = parse_addresses(settings.entry.control)
         self.claims = ClaimsClient(addresses, settings.node, clock, context.rng)
         reports = NodeReports(settings, self.cell, shared, clock)
--- a/verbenathread/entry/model_service.py
+++ b/verbenathread/entry/model_service.py
@@ -24,14 +24,14 @@
     ModelCall,
     parse_call,
 )
-from verbenathread.entry.ports import SharedSettings
+from verbenathread.entry.ports import Admissions, SharedSettings
 from verbenathread.entry.relay import (
     CallerGoneError,
     ModelRequest,
     Relay,
     RelayPorts,
 )
-from verbenathread.entry.replies import CallerError
+from verbenathread.entry.replies import CallerError, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
 from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics, length_label
@@ -47,6 +47,7 @@
     """What serving a model request needs."""
 
     settings: SharedSettings
+    admissions: Admissions
     relay: RelayPorts
     watch: CallerWatch
     metrics: EntryMetrics
@@ -194,6 +195,9 @@
             deadline,
             gone,
         )
+        refusal = self._parts.admissions.admit(work, account.settings)
+        if refusal is not None:
+            raise refusal_error(refusal)
         with self._parts.watch.watching(exchange.sock, gone.set):
             self._serve(exchange, request)
 
@@ -245,6 +249,7 @@
                 raise
             sink.fail(error)
         finally:
+            self._parts.admissions.done(request.work, relay.position)
             self._parts.recorder.record(request.work, relay.position)
             self._parts.metrics.requests.labels(
                 request.work.service, outcome
--- a/verbenathread/entry/plain_service.py
+++ b/verbenathread/entry/plain_service.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import http
+import itertools
 import random
 import uuid
 from typing import NamedTuple, NoReturn
@@ -30,15 +31,26 @@
     PlainClient,
     plain_call,
 )
-from verbenathread.entry.ports import Claims, SharedSettings, Upstreams
-from verbenathread.entry.replies import CallerError, RunState
+from verbenathread.entry.ports import (
+    Admissions,
+    Claims,
+    SharedSettings,
+    Upstreams,
+)
+from verbenathread.entry.replies import CallerError, RunState, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
+from verbenathread.entry.retry_budgets import RetryBudgets
 from verbenathread.entry.settler import Settler
 from verbenathread.exceptions import VerbenathreadError
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import control_pb2, settings_pb2
-from verbenathread.types import Outcome, UpstreamKind, UpstreamRecord
+from verbenathread.types import (
+    Outcome,
+    Refusal,
+    UpstreamKind,
+    UpstreamRecord,
+)
 
 # Time in ms beyond the deadline to write the answer that says so.
 _FINAL_ANSWER_TIME = 2000
@@ -46,7 +58,6 @@
 _SETTLE_TIME = 60_000
 _CLAIM_TIMEOUT = 5000
 _RETRY_AFTER_MS = 1000
-_LONGEST_BACKOFF = 2000
 _MOST_KEY_CHARACTERS = 255
 _PATH_PARTS_BEFORE_REST = 3
 # Characters that a path may hold as they are, by RFC 3986.
@@ -63,6 +74,8 @@
     settings: SharedSettings
     upstreams: Upstreams
     claims: Claims
+    admissions: Admissions
+    retries: RetryBudgets
     settler: Settler
     client: PlainClient
     watch: CallerWatch
@@ -91,6 +104,11 @@
     def forward(self, exchange: Exchange) -> None:
         """Serve one call under /services/NAME/."""
         request = self._request(exchange)
+        refusal = self._parts.admissions.admit_call(
+            request.account.name, request.account.settings
+        )
+        if refusal is not None:
+            raise refusal_error(refusal)
         outcome = 'failed'
         try:
             self._serve_watched(request)
@@ -143,25 +161,22 @@
 
     def _repeat(self, request: _Request) -> None:
         """Send a call that may be repeated until one attempt completes."""
-        policy = self._parts.settings.policy(request.service_name)
-        backoff = policy.retry_base
-        last = _NO_ATTEMPT
-        for number in range(policy.attempts):
-            if number:
-                self._parts.metrics.retries.labels(request.service_name).inc()
-                # Jitter only: the number guards nothing.
-                wait = round(backoff * random.uniform(0.5, 1))  # noqa: S311
-                request.gone.wait(min(wait, request.deadline.left()))
-                backoff = min(backoff * 2, _LONGEST_BACKOFF)
-            if request.gone.happened:
-                raise ConnectionAbortedError('The caller hung up.')
-            if request.deadline.passed():
-                break
-            last = self._try_one(request, number)
+        name = request.service_name
+        self._parts.retries.first(name, self._parts.settings.policy(name))
+        for attempts in itertools.count(1):
+            last = self._try_one(request, attempts)
             if last.outcome == Outcome.COMPLETED:
                 _reply(request, last)
                 return
-        raise self._failed(request, last)
+            retry = self._parts.retries.next(
+                name, attempts, last.outcome, request.deadline.moment
+            )
+            if isinstance(retry, Refusal):
+                raise self._failed(request, last)
+            request.gone.wait(retry.delay)
+            if request.gone.happened:
+                raise ConnectionAbortedError('The caller hung up.')
+            self._parts.metrics.retries.labels(name).inc()
 
     def _try_one(self, request: _Request, number: int) -> PlainAttempt:
         upstreams = self._shuffled(request)
--- a/verbenathread/entry/ports.py
+++ b/verbenathread/entry/ports.py
@@ -88,6 +88,23 @@
         """Stop waiting: the caller has gone."""
 
 
+class Admissions(Protocol):
+    """The first answer that a request gets."""
+
+    def admit(
+        self, work: Work, account: settings_pb2.AccountSettings
+    ) -> Refusal | None:
+        """Count one model request, or refuse it and say when to come back."""
+
+    def admit_call(
+        self, name: str, account: settings_pb2.AccountSettings
+    ) -> Refusal | None:
+        """Count one call of a plain service, or refuse it."""
+
+    def done(self, work: Work, output_tokens: int) -> None:
+        """Note the end of an admitted model request, however it ended."""
+
+
 class Claims(Protocol):
     """Claims on a quorum for calls that may not be repeated."""
 
--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -5,7 +5,7 @@
 broken attempt is resumed from the next token by another engine.
 """
 
-import random
+import itertools
 import uuid
 from contextlib import closing
 from functools import partial
@@ -32,10 +32,18 @@
 from verbenathread.entry.reaper import Reaper
 from verbenathread.entry.replies import CallerError, RunState, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
+from verbenathread.entry.retry_budgets import RetryBudgets
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import settings_pb2
-from verbenathread.types import Refusal, Reservation, UpstreamRecord, Work
+from verbenathread.types import (
+    Millis,
+    Outcome,
+    Refusal,
+    Reservation,
+    UpstreamRecord,
+    Work,
+)
 
 _GATEWAY_TIMEOUT = 504
 _BAD_GATEWAY = 502
@@ -43,9 +51,6 @@
 _LENGTH_REASON = 'length'
 # Output tokens between two reports of progress to the scheduler.
 _PROGRESS_TOKENS = 32
-_JITTER_LEAST = 0.5
-_LONGEST_BACKOFF = 2000
-_RETRY_AFTER_MS = 1000
 
 _log = get_logger('relay')
 
@@ -78,6 +83,7 @@
     upstreams: Upstreams
     reaper: Reaper
     pump: Pump
+    retries: RetryBudgets
     metrics: EntryMetrics
     owner: Owner
     clock: Clock
@@ -128,29 +134,25 @@
 
         Raises :class:`CallerError`, or :class:`CallerGoneError`.
         """
-        last_fault: Exception = EngineNotRunError('No engine was asked.')
-        backoff = self._request.policy.retry_base
-        for number in range(self._request.policy.attempts):
-            if number:
-                self._sink.retried()
+        work = self._request.work
+        self._ports.retries.first(work.service, self._request.policy)
+        for attempts in itertools.count(1):
             try:
                 return self._attempt()
-            except EngineNotRunError as exc:
-                last_fault = exc
-                self._wait(max(backoff, exc.retry_after))
-                backoff = min(backoff * 2, _LONGEST_BACKOFF)
-            except EngineBrokenError as exc:
-                last_fault = exc
+            except (EngineNotRunError, EngineBrokenError) as exc:
+                fault = exc
             _log.info(
                 'An attempt failed.',
-                request=self._request.work.request_id,
-                fault=str(last_fault),
+                request=work.request_id,
+                fault=str(fault),
                 position=self._position,
             )
             self._check()
-            if self._position >= self._request.work.most_output_tokens:
-                return self._full()
-        raise self._given_up(last_fault)
+            if self._position >= work.most_output_tokens:
+                break
+            self._wait_to_retry(attempts, fault)
+            self._sink.retried()
+        return self._full()
 
     def _attempt(self) -> Finish:
         reservation = self._reserve()
@@ -316,11 +318,25 @@
             _LENGTH_REASON, self._request.work.prompt_tokens, self._position
         )
 
-    def _wait(self, duration: int) -> None:
-        # Jitter only: the number guards nothing.
-        jitter = random.uniform(_JITTER_LEAST, 1)  # noqa: S311
+    def _wait_to_retry(
+        self, attempts: int, fault: EngineNotRunError | EngineBrokenError
+    ) -> None:
+        """Wait until the next attempt may go out, or give the request up."""
+        work = self._request.work
+        outcome = Outcome.UNKNOWN
+        least_wait: Millis = 0
+        if isinstance(fault, EngineNotRunError):
+            outcome = Outcome.NOT_RUN
+            least_wait = fault.retry_after
+        retry = self._ports.retries.next(
+            work.service, attempts, outcome, work.deadline
+        )
+        if isinstance(retry, Refusal):
+            _log.info('No retry is made.', reason=retry.message)
+            raise self._given_up(fault, retry)
         left = self._request.deadline.left()
-        self._request.gone.wait(min(int(duration * jitter), left))
+        self._request.gone.wait(min(max(retry.delay, least_wait), left))
+        self._check_gone()
 
     def _check(self) -> None:
         self._check_gone()
@@ -342,20 +358,20 @@
             reservation, output_tokens=self._position, failed=failed
         )
 
-    def _given_up(self, fault: Exception) -> CallerError:
+    def _given_up(self, fault: Exception, refusal: Refusal) -> CallerError:
         if self._may_have_run:
             return CallerError(
                 _BAD_GATEWAY,
                 'attempts_exhausted',
                 f'{fault} No attempt is left; send the request again.',
                 run_state=RunState.MAY_HAVE_RUN,
-                retry_after=_RETRY_AFTER_MS,
+                retry_after=refusal.retry_after,
             )
         return CallerError(
             _UNAVAILABLE,
             'no_upstream',
             f'{fault} Send the request again later.',
-            retry_after=_RETRY_AFTER_MS,
+            retry_after=refusal.retry_after,
         )
 
 
--- a/verbenathread/entry/reservations.py
+++ b/verbenathread/entry/reservations.py
@@ -20,6 +20,7 @@
 from verbenathread.membership.cell import Cell
 from verbenathread.scheduling.groups import GroupClaim, group_size
 from verbenathread.scheduling.messages import Ask, EngineReport
+from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.scheduling.router import Router
 from verbenathread.schema import peer_pb2
 from verbenathread.types import (
@@ -76,6 +77,7 @@
     ) -> None:
         """Hold nothing at first."""
         self.held = HeldReservations()
+        self._outliers = OutlierTracker()
         self._cell = cell
         self._owners = owners
         self._outbox = outbox
@@ -103,8 +105,9 @@
         if isinstance(outcome, Reservation):
             self.held.add(outcome, work)
             for upstream_id in outcome.upstream_ids:
-                router = self._router(work.service)
-                router.note_sent(upstream_id, work, self._clock.now())
+                now = self._clock.now()
+                self._router(work.service).note_sent(upstream_id, work, now)
+                self._outliers.note_sent(upstream_id, now)
         return outcome
 
     def abandon(self, work: Work) -> None:
@@ -132,10 +135,15 @@
         held = self.held.remove(reservation.attempt_id)
         if held is None:
             return
+        now = self._clock.now()
         if failed:
-            self.held.note_failed(held, self._clock.now())
+            self.held.note_failed(held, now)
         for upstream_id in reservation.upstream_ids:
             self._router(held.work.service).note_done(upstream_id, held.work)
+            if failed:
+                self._outliers.note_failure(upstream_id, now)
+            else:
+                self._outliers.note_success(upstream_id)
         self._tell(
             reservation,
             peer_pb2.HoldUpdate(
@@ -297,11 +305,13 @@
         router.policy = self._settings.policy(work.service)
         failed_ids = self.held.failed_ids(work.request_id)
         now = self._clock.now()
-        order = router.choose(work, engines, now, failed_ids)
-        if order:
-            return order
-        # It failed everywhere; what is left is to try once more.
-        return router.choose(work, engines, now)
+        aside_ids = self._outliers.put_aside(now)
+        for passed_over in (aside_ids.union(failed_ids), failed_ids, ()):
+            order = router.choose(work, engines, now, passed_over)
+            if order:
+                return order
+        # Only what failed before is left; it is tried once more.
+        return order
 
     def _router(self, service: str) -> Router:
         if service not in self._router_by_service:
--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -162,7 +162,7 @@
         self._grants.release(pending, 0)
         pending.failures += 1
         step = self.parts.retries.next(
-            pending.work,
+            pending.work.deadline,
             pending.failures,
             Outcome.UNKNOWN,
             now,
--- a/verbenathread/scheduling/retries.py
+++ b/verbenathread/scheduling/retries.py
@@ -9,12 +9,12 @@
     Outcome,
     Refusal,
     RefusalReason,
-    Work,
 )
 
 _LONGEST_BACKOFF: Millis = 5000
-# Retries that a quiet entry may make before its traffic earns more.
-_LEAST_BUDGET = 3.0
+# Retries that a quiet entry may make before its traffic earns more: one
+# engine's death breaks all of its streams at this entry at once.
+_LEAST_BUDGET = 10.0
 _MOST_BUDGET = 50.0
 
 
@@ -42,7 +42,7 @@
 
     def next(
         self,
-        work: Work,
+        deadline: Millis,
         attempts: int,
         outcome: Outcome,
         now: Millis,
@@ -59,7 +59,7 @@
         if attempts >= self.policy.attempts:
             return _refused('Every attempt failed; retry later.')
         delay = self.backoff(attempts)
-        if now + delay >= work.deadline:
+        if now + delay >= deadline:
             return _refused('No time is left for another attempt.')
         if self._budget < 1:
             return _refused('Too many retries are in progress; retry later.')
