--- a/tests/test_membership_cell.py
+++ b/tests/test_membership_cell.py
@@ -205,3 +205,17 @@
         network.cell_by_id.pop(owner)
         moved = await until(lambda: any(network.owners('e1')), 1500)
         self.assertTrue(moved)
+
+    @in_cell(5)
+    async def test_a_restarted_entry_gets_its_engines_back(self, network):
+        await self.renew(network, ['e1'], 2)
+        owner = network.owners('e1')[0]
+        await network.kill(owner)
+        await self.renew(network, ['e1'], 10)
+        substitute = network.owners('e1')
+        self.assertNotIn(owner, substitute)
+        network.start(owner, incarnation=2)
+        await self.renew(network, ['e1'], 25)
+        self.assertEqual(network.owners('e1'), substitute)
+        await self.renew(network, ['e1'], 20)
+        self.assertEqual(network.owners('e1'), [owner])
