--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -33,6 +33,7 @@
 from verbenathread.entry.replies import CallerError, RunState, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
 from verbenathread.observability.logs import get_logger
+from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import settings_pb2
 from verbenathread.types import Refusal, Reservation, UpstreamRecord, Work
 
@@ -77,6 +78,7 @@
     upstreams: Upstreams
     reaper: Reaper
     pump: Pump
+    metrics: EntryMetrics
     owner: Owner
     clock: Clock
 
@@ -116,6 +118,11 @@
             return RunState.MAY_HAVE_RUN
         return RunState.NOT_RUN
 
+    @property
+    def position(self) -> int:
+        """Return how many tokens have been relayed."""
+        return self._position
+
     def run(self) -> Finish:
         """Return the terminator once every token is in the sink.
 
@@ -158,7 +165,7 @@
             self._ports.reaper.ended(reservation.attempt_id)
             self._release(reservation, failed=True)
             if isinstance(exc, EngineRejectedError):
-                raise self._rejected(exc) from exc
+                raise _rejected(exc, self.run_state) from exc
             raise
         except BaseException:
             self._ports.reaper.cancel(reservation, engines, self._position)
@@ -171,7 +178,9 @@
         attempt_id = uuid.uuid4().hex
         work = self._request.work
         gone = self._request.gone
-        with gone.acting(lambda: self._ports.reservations.abandon(work)):
+        waiting = self._ports.metrics.waiting.track_inprogress()
+        abandon = partial(self._ports.reservations.abandon, work)
+        with waiting, gone.acting(abandon):
             granted = self._ports.reservations.reserve(work, attempt_id)
         if isinstance(granted, Refusal):
             self._check_gone()
@@ -333,14 +342,6 @@
             reservation, output_tokens=self._position, failed=failed
         )
 
-    def _rejected(self, fault: EngineRejectedError) -> CallerError:
-        return CallerError(
-            fault.status,
-            'rejected_by_engine',
-            f'{fault}',
-            run_state=self.run_state,
-        )
-
     def _given_up(self, fault: Exception) -> CallerError:
         if self._may_have_run:
             return CallerError(
@@ -356,3 +357,9 @@
             f'{fault} Send the request again later.',
             retry_after=_RETRY_AFTER_MS,
         )
+
+
+def _rejected(fault: EngineRejectedError, run_state: RunState) -> CallerError:
+    return CallerError(
+        fault.status, 'rejected_by_engine', str(fault), run_state=run_state
+    )
