Make the test of contending groups cross their asks

With nobody yielding the test passed, since every owner saw the groups in one order. Each group now comes first where the other comes last.

After: the test fails with nobody yielding; 16 tests pass.

--- a/tests/fabric_network.py
+++ b/tests/fabric_network.py
@@ -79,6 +79,8 @@
         self.node_by_id = {}
         self.cut_ids = set()
         self.reply_delay_s = 0.001
+        # Seconds that an ask takes, by the asking entry and the engine.
+        self.delay_by_ask = {}
         self.attempts = 0
 
     async def start(self, node_id, incarnation=1, revision=1):
@@ -167,6 +169,8 @@
         return reply
 
     async def reserve(self, peer_id, request, limit):
+        path = (self._node_id, request.upstream_id)
+        await asyncio.sleep(self._network.delay_by_ask.get(path, 0))
         node = await self._reach(peer_id)
         reply = await node.host.reserve(request)
         await asyncio.sleep(self._network.reply_delay_s)
--- a/tests/test_entry_reservations.py
+++ b/tests/test_entry_reservations.py
@@ -138,7 +138,11 @@
 
     @with_engines(5, 'e1', 'e2', 'e3')
     async def test_two_groups_never_wait_for_each_other(self, network):
-        users = ('entry-0', 'entry-1', 'entry-2')
+        names = ('e1', 'e2', 'e3')
+        owners = set(map(network.owner, names))
+        users = sorted(set(network.ids) - owners)[:2]
+        # Each comes first at an engine at which the other comes last.
+        network.delay_by_ask = {(users[0], 'e1'): 0.1, (users[1], 'e2'): 0.1}
         asks = {
             asyncio.create_task(network.reserve(user, 900_000)): user
             for user in users
