--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -37,6 +37,7 @@
 )
 
 _LEAST_LOOK: Millis = 500
+_MOST_LOOK: Millis = 5000
 # Sets of engines tried for one group.
 _GROUP_TRIES = 6
 
@@ -246,7 +247,7 @@
         if not share:
             return
         walk = pending.walk
-        delay = max(_LEAST_LOOK, int(wait * share))
+        delay = min(_MOST_LOOK, max(_LEAST_LOOK, int(wait * share)))
         self._place.later(delay, lambda: self._look_again(pending, walk))
 
     def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -44,6 +44,9 @@
             prefill += other.prefill
         memory = memory_outlook(self._holds, missing, self._now)
         memory_wait = memory.wait
+        if memory.surplus < 0:
+            # What waits before it must come and go first.
+            memory_wait += self._queue_time(waiting)
         if self._tuning.slowed_memory:
             memory_wait = self._slowed(memory_wait, waiting.level)
         return max(self._slowed(prefill, waiting.level), memory_wait)
@@ -57,6 +60,18 @@
         queued = sum(waiting.prefill for waiting in self._queue)
         return int(queued / 2)
 
+    def _queue_time(self, waiting: Waiting) -> float:
+        """Return ms that the queue before an ask fills all memory for."""
+        filled: float = 0
+        for other in self._queue:
+            if other is waiting or other.length == LengthClass.SHORT:
+                continue
+            if other.since > waiting.since:
+                continue
+            time = other.prefill + other.output
+            filled += time * other.ask.memory_tokens
+        return filled / self._holds.memory_tokens
+
     def _slowed(self, prefill: float, level: int) -> float:
         return prefill / (1 - self._use.share_above(level, self._now))
 
--- a/verbenathread/scheduling/granting.py
+++ b/verbenathread/scheduling/granting.py
@@ -86,7 +86,7 @@
         self._protected = oldest
         self._begins_in = promise.left(oldest, outlook.wait, self._now)
         if outlook.wait <= 0 or self._begins_in > 0:
-            self._beside = outlook.surplus
+            self._beside = max(0, outlook.surplus)
 
     def may_have(self, waiting: Waiting) -> bool:
         """Tell whether an ask gets its memory now."""
--- a/verbenathread/scheduling/holds.py
+++ b/verbenathread/scheduling/holds.py
@@ -133,6 +133,7 @@
     """When some memory comes back, and what comes back beyond it."""
 
     wait: float
+    # Below zero when the holds do not give back enough.
     surplus: int
 
 
@@ -150,4 +151,4 @@
     while ends and missing > 0:
         wait, tokens = heapq.heappop(ends)
         missing -= tokens
-    return MemoryOutlook(wait, max(0, -missing))
+    return MemoryOutlook(wait, -missing)
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -98,6 +98,7 @@
             waiting = make_waiting(
                 ask, self.cost, self.policy, self._tuning, now
             )
+            waiting = self._queue.placed(waiting)
             refusal = self._refusal(waiting, now)
             if refusal is not None:
                 return refusal
--- a/verbenathread/scheduling/queueing.py
+++ b/verbenathread/scheduling/queueing.py
@@ -80,16 +80,20 @@
         """Return one that waits, or None."""
         return self._by_attempt.get(attempt_id)
 
+    def placed(self, waiting: Waiting) -> Waiting:
+        """Return an ask with the place that it would get now."""
+        if not self._tuning.fair_shares:
+            return waiting
+        account = waiting.ask.work.account
+        start = max(self._virtual, self._finish_by_account.get(account, 0))
+        finish = start + waiting.prefill / waiting.ask.weight
+        return waiting._replace(finish=finish)
+
     def add(self, waiting: Waiting) -> None:
-        """Put an ask at its place."""
-        finish: float = 0
-        if self._tuning.fair_shares:
-            account = waiting.ask.work.account
-            start = max(self._virtual, self._finish_by_account.get(account, 0))
-            finish = start + waiting.prefill / waiting.ask.weight
-            self._finish_by_account[account] = finish
-        placed = waiting._replace(finish=finish)
-        self._by_attempt[waiting.ask.attempt_id] = placed
+        """Put an ask that is placed into the queue."""
+        account = waiting.ask.work.account
+        self._finish_by_account[account] = waiting.finish
+        self._by_attempt[waiting.ask.attempt_id] = waiting
 
     def remove(self, attempt_id: str) -> Waiting | None:
         """Take one out, if it waits."""
