Keep a long prompt at the owner that promised

Cause: the one miss at 120 % was a prompt of 268,694 tokens that left two owners after 112 s and 97 s. Ruled out: an earlier or a later second look for long prompts.

--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -247,10 +247,10 @@
         if not share:
             return
         walk = pending.walk
-        delay = max(_LEAST_LOOK, int(wait * share))
         # A long prompt that moves loses the promise that others keep to.
-        if pending.work.prompt_tokens < self.parts.policy.long_tokens:
-            delay = min(_MOST_LOOK, delay)
+        if pending.work.prompt_tokens >= self.parts.policy.long_tokens:
+            return
+        delay = min(_MOST_LOOK, max(_LEAST_LOOK, int(wait * share)))
         self._place.later(delay, lambda: self._look_again(pending, walk))
 
     def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
