--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -33,10 +33,12 @@
             'fencing': 0,
             'models': [options.service],
             'role': 'both',
+            'drain': '',
         }
         self.refused_cancels = 0
         self.generated = 0
         self.arrived = 0
+        self.breaks = 0
         self.cancelled = set()
         self.prefill = threading.Lock()
 
@@ -131,8 +133,8 @@
                 models.append(subject)
             if order['action'] == 'unload' and subject in models:
                 models.remove(subject)
-            if order['action'] == 'role':
-                self.order['role'] = subject
+            if order['action'] in {'role', 'drain'}:
+                self.order[order['action']] = subject
             return True
 
 
@@ -189,7 +191,12 @@
         self.start_lines()
         # A stream that breaks is held until it is cancelled: that is what
         # cancels are for.
-        if self.stream(order, attempt_id):
+        try:
+            ended = self.stream(order, attempt_id)
+        except OSError:
+            self.engine.breaks += 1
+            raise
+        if ended:
             self.engine.close(attempt_id)
 
     def stream(self, order, attempt_id):
@@ -228,13 +235,17 @@
                     },
                 }
             )
-        self.wfile.write(b'0\r\n\r\n')
+        self.write(b'')
         return not options.truncate
 
     def start_lines(self):
         self.send_response(200)
         self.send_header('Content-Type', 'application/x-ndjson')
-        self.send_header('Transfer-Encoding', 'chunked')
+        if self.engine.options.chunked:
+            self.send_header('Transfer-Encoding', 'chunked')
+        else:
+            self.send_header('Connection', 'close')
+            self.close_connection = True
         self.end_headers()
 
     def token(self, named, position):
@@ -247,8 +258,12 @@
         )
 
     def line(self, members):
-        content = json.dumps(members).encode() + b'\n'
-        self.wfile.write(b'%x\r\n%b\r\n' % (len(content), content))
+        self.write(json.dumps(members).encode() + b'\n')
+
+    def write(self, content):
+        if self.engine.options.chunked:
+            content = b'%x\r\n%b\r\n' % (len(content), content)
+        self.wfile.write(content)
 
 
 def engine_parser():
@@ -261,6 +276,11 @@
     )
     parser.add_argument('--answer-tokens', type=int, default=20)
     parser.add_argument('--fencing', choices=('checked', 'ignored'))
+    parser.add_argument(
+        '--chunked',
+        action='store_true',
+        help='send chunks and keep the connection, not close it',
+    )
     parser.add_argument('--truncate', action='store_true')
     parser.add_argument('--die-at', type=int, default=-1)
     parser.add_argument('--cross-at', type=int, default=-1)
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -1,14 +1,18 @@
 """Tests of attempts: broken, crossed, doubled, late and cancelled answers."""
 
 import json
+import socket
+import time
 import unittest
+from http.client import HTTPResponse
 
 import openai
 import urllib3
 
-from tests.entry_fakes import CALLER_KEY, FakeEntry, wait_until
+from tests.entry_fakes import CALLER_KEY, LIMITS, FakeEntry, wait_until
 from tests.standins.engine import token_text
 from tests.standins.processes import LocalStandIn, StandIn
+from tests.test_entry_bad_input import call
 from verbenathread.entry.engine_client import Owner
 from verbenathread.types import UpstreamState
 
@@ -24,13 +28,22 @@
     (('--skip-at', '7'), 2),
     (('--double-at', '7'), 1),
     (('--memory-tokens', '1'), 2),
+    (('--chunked', '--die-at', '7'), 2),
+    (('--chunked', '--cross-at', '7'), 2),
+    (('--chunked', '--truncate'), 2),
     (('--die-at', '7', '--refuse-cancels', '3'), 2),
 )
 
 
 class RelayCase(unittest.TestCase):
+    # A busy machine must not pass for a reader that is too slow.
+    limits = LIMITS._replace(write_wait=60_000)
+    most_output_tokens = 100_000
+
     def setUp(self):
-        self.entry = FakeEntry()
+        self.entry = FakeEntry(
+            limits=self.limits, most_output_tokens=self.most_output_tokens
+        )
         self.addCleanup(self.entry.stop)
         self.pool = urllib3.PoolManager(retries=False)
         self.addCleanup(self.pool.clear)
@@ -150,6 +163,53 @@
         self.entry.upstreams.record_by_id[gone.upstream_id] = gone
         self.assert_nothing_held(whole)
 
+    def test_successor_cancels_what_a_killed_entry_left(self):
+        engine = self.engine('--decode-rate', '20')
+        killed = StandIn('entry')
+        self.addCleanup(killed.kill)
+        engine.announce(killed.address)
+        host, _, port = killed.address.rpartition(':')
+        content = call({'model': MODEL, 'prompt': 'a', 'stream': True})
+        with socket.create_connection((host, int(port)), 20) as sock:
+            sock.sendall(content)
+            sock.recv(4096)
+            killed.kill()
+        self.assertTrue(wait_until(lambda: engine.state.breaks))
+        self.assertEqual(len(engine.state.hold_by_attempt), 1)
+        successor = FakeEntry(incarnation=2)
+        self.addCleanup(successor.stop)
+        engine.announce(successor.address)
+        self.assert_nothing_held(engine)
+
+    def test_slow_reader_gets_every_token_in_order(self):
+        tokens = 45_000
+        engine = self.engine('--answer-tokens', str(tokens))
+        content = call(
+            {
+                'model': MODEL,
+                'prompt': 'a',
+                'stream': True,
+                'max_tokens': tokens,
+            }
+        )
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.settimeout(20)
+            sock.connect(self.entry.address)
+            sock.sendall(content)
+            # Nothing is read until the buffers towards the caller are full.
+            self.assertTrue(wait_until(lambda: engine.state.generated))
+            seen = -1
+            while seen < engine.state.generated:
+                seen = engine.state.generated
+                time.sleep(0.2)
+            self.assertEqual(self.entry.side.server.busy, 1)
+            answer = HTTPResponse(sock)
+            answer.begin()
+            text = streamed_text(answer.read())
+        self.assertEqual(text, ''.join(map(token_text, range(tokens))))
+        self.assert_nothing_held(engine)
+
     def test_holds_of_an_earlier_incarnation_are_cancelled(self):
         engine = self.engine()
         owners = (
@@ -175,6 +235,22 @@
                 self.assertEqual(engine.state.holds(f'attempt-{number}'), kept)
 
 
+class GroupTest(RelayCase):
+    def test_each_engine_of_a_group_is_asked_for_its_share(self):
+        engines = [self.engine('--die-at', '7'), self.engine()]
+        # More than either engine has.
+        fake = self.entry.reservations
+        fake.group_tokens = 600_000
+        error = self.complete().json()['error']
+        self.assertEqual(error['code'], 'no_upstream')
+        self.assertEqual(error['run_state'], 'may_have_run')
+        self.assertEqual(engines[0].state.generated, 7)
+        # The broken attempt was cancelled at both.
+        self.assert_nothing_held(*engines)
+        for engine in engines:
+            self.assertTrue(engine.state.cancelled)
+
+
 class CallerGoneTest(RelayCase):
     def test_gone_while_streaming(self):
         engine = self.engine('--decode-rate', '20')
--- a/verbenathread/consensus/leader.py
+++ b/verbenathread/consensus/leader.py
@@ -19,7 +19,7 @@
 )
 from verbenathread.consensus.transport import Transport
 from verbenathread.consensus.waiting import TaskSet, wait_event
-from verbenathread.exceptions import UnavailableError
+from verbenathread.exceptions import UnavailableError, UnknownOutcomeError
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema.consensus_pb2 import (
     ENTRY_MEMBERS,
@@ -83,13 +83,31 @@
         ``expected`` is the index of the members that ``members`` was made
         from, which must be committed: one change at a time.
         """
+        # In a task of its own: a caller who hangs up must not cancel a sync.
+        task = self._tasks.spawn(
+            self._write_members(leading, members, expected)
+        )
+        await asyncio.wait((task,))
+        if task.cancelled() or task.exception() is not None:
+            raise UnknownOutcomeError(
+                'This replica stopped during the change of members; read the '
+                'status at another one.'
+            )
+        outcome = task.result()
+        if isinstance(outcome, UnavailableError):
+            raise outcome
+        return outcome
+
+    async def _write_members(
+        self, leading: Leading, members: LogMembers, expected: int
+    ) -> int | UnavailableError:
         state = self._state
         async with state.lock:
             if not state.leads(leading):
-                raise state.not_leader()
+                return state.not_leader()
             current = state.log.members_index()
             if current != expected or current > state.commit_index:
-                raise UnavailableError(
+                return UnavailableError(
                     'Another change of members is in progress; try again '
                     'once it is done.'
                 )
--- a/verbenathread/consensus/segments.py
+++ b/verbenathread/consensus/segments.py
@@ -30,6 +30,8 @@
         """Touch nothing before :meth:`read`."""
         self._folder = folder
         self._segments: list[Segment] = []
+        # True from the start of an append until it is synced.
+        self._interrupted = False
         self.replay = Replay()
 
     def is_empty(self) -> bool:
@@ -53,21 +55,14 @@
 
     async def append(self, record: DiskRecord) -> None:
         """Add one record with one sync."""
-        segment = self._segments[-1]
-        name = _segment_name(segment.number)
-        packed = records.pack(
-            record.SerializeToString(), segment.number, segment.length
-        )
-        self._folder.files.append(name, packed)
-        await self._folder.sync(name)
-        segment.length += len(packed)
-        if record.entries:
-            last = record.entries[-1]
-            segment.last_index = max(segment.last_index, last.index)
-            self.replay.end(last.index, last.term)
-        self._note_synced()
-        if segment.length >= _SEGMENT_BYTES:
-            await self.begin_segment()
+        if self._interrupted:
+            raise StorageError(
+                'An earlier append was interrupted, and where the log ends '
+                'is unknown; start this replica again.'
+            )
+        self._interrupted = True
+        await self._append(record)
+        self._interrupted = False
 
     async def begin_segment(self) -> None:
         """Make a file that says where the log stands."""
@@ -98,13 +93,30 @@
             oldest = self._segments[0]
             if oldest.last_index > keep_after:
                 return
-            self._folder.files.remove(_segment_name(oldest.number))
+            self._folder.remove(_segment_name(oldest.number))
             await self._folder.sync_folder()
             self._segments.pop(0)
 
+    async def _append(self, record: DiskRecord) -> None:
+        segment = self._segments[-1]
+        name = _segment_name(segment.number)
+        packed = records.pack(
+            record.SerializeToString(), segment.number, segment.length
+        )
+        self._folder.append(name, packed)
+        await self._folder.sync(name)
+        segment.length += len(packed)
+        if record.entries:
+            last = record.entries[-1]
+            segment.last_index = max(segment.last_index, last.index)
+            self.replay.end(last.index, last.term)
+        self._note_synced()
+        if segment.length >= _SEGMENT_BYTES:
+            await self.begin_segment()
+
     def _read_segment(self, number: int, synced: int, *, is_last: bool) -> None:
         name = _segment_name(number)
-        content = self._folder.files.read(name)
+        content = self._folder.read(name)
         found = records.scan(content, number)
         whole = found.valid_length
         if found.resumes_at >= 0:
@@ -119,7 +131,7 @@
             if not is_last:
                 raise self._damage(number, whole, 'a later segment follows')
             # The last append was torn by a crash; nobody was told of it.
-            self._folder.files.cut(name, whole)
+            self._folder.cut(name, whole)
         self._take(Segment(number, whole), found.payloads)
 
     def _take(self, segment: Segment, payloads: list[bytes]) -> None:
@@ -134,7 +146,7 @@
         mark = SyncedMark()
         if _MARK not in names:
             return mark
-        payload = records.unpack(self._folder.files.read(_MARK), 0, 0)
+        payload = records.unpack(self._folder.read(_MARK), 0, 0)
         if payload is not None:
             mark.ParseFromString(payload)
         return mark
@@ -144,7 +156,7 @@
         segment = self._segments[-1]
         mark = SyncedMark(segment=segment.number, length=segment.length)
         packed = records.pack(mark.SerializeToString(), 0, 0)
-        self._folder.files.overwrite(_MARK, packed)
+        self._folder.overwrite(_MARK, packed)
 
     def _damage(self, number: int, offset: int, reason: str) -> StorageError:
         path = self._folder.path(_segment_name(number))
--- a/verbenathread/entry/connections.py
+++ b/verbenathread/entry/connections.py
@@ -1,6 +1,7 @@
 """HTTP connections to upstreams, reused only after a clean exchange."""
 
 import socket
+import struct
 import threading
 from collections import deque
 from collections.abc import Mapping
@@ -19,6 +20,8 @@
 CONNECT_TIMEOUT = 1000
 _MOST_IDLE = 64
 _LEAST_WAIT = 1
+# Linger on, for no time.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
 
@@ -51,7 +54,8 @@
 
     def read_head(self, deadline: Millis) -> None:
         """Wait for status and headers."""
-        self._pool.bound(self._connection, deadline)
+        # The library sets the socket's timeout from this one.
+        self._connection.timeout = self._pool.seconds_left(deadline)
         try:
             response = self._connection.getresponse()
         except _ERRORS as exc:
@@ -67,7 +71,7 @@
         if self._response is None:
             self.read_head(deadline)
         assert self._response is not None
-        self._pool.bound(self._connection, deadline)
+        self._bound(deadline)
         try:
             return self._response.read1(most)
         except _ERRORS as exc:
@@ -75,6 +79,32 @@
                 f'The answer of {self._address} was cut off.'
             ) from exc
 
+    def plain_socket(self) -> socket.socket | None:
+        """Return the socket if what follows on it is the body as it is.
+
+        That holds for an answer that its upstream ends by closing, once
+        :meth:`read1` has returned what came with the head.
+        """
+        response = self._response
+        if response is None or response.chunked:
+            return None
+        if response.length_remaining is not None:
+            return None
+        return self._socket
+
+    def read_ready(self, most: int) -> bytes | None:
+        """Return what has come on the plain socket, None if nothing has."""
+        if self._socket.gettimeout() != 0:
+            self._socket.setblocking(False)
+        try:
+            return self._socket.recv(most)
+        except BlockingIOError:
+            return None
+        except OSError as exc:
+            raise BrokenExchangeError(
+                f'The answer of {self._address} was cut off.'
+            ) from exc
+
     def read_all(self, most: int, deadline: Millis) -> bytes:
         """Return the rest of the answer, at most ``most`` bytes."""
         blocks = []
@@ -102,10 +132,19 @@
             if self._connection.sock is not None:
                 self._pool.put_back(self._address, self._connection)
                 return
+        # Reset, so that the kernel delivers nothing of it any more.
+        with suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         if response is not None:
             response.close()
         self._connection.close()
 
+    def _bound(self, deadline: Millis) -> None:
+        """Let the next wait end at the deadline."""
+        self._socket.settimeout(self._pool.seconds_left(deadline))
+
 
 class ConnectionPool:
     """Idle connections by address."""
@@ -134,7 +173,7 @@
         because the upstream had closed it while it was idle.
         """
         connection = self.connect(address, deadline, fresh=fresh)
-        self.bound(connection, deadline)
+        connection.timeout = self.seconds_left(deadline)
         try:
             connection.request(
                 method,
@@ -172,12 +211,9 @@
             raise ConnectError(f'No connection to {address}.') from exc
         return connection
 
-    def bound(self, connection: HTTPConnection, deadline: Millis) -> None:
-        """Let the next wait end at the deadline."""
-        left = seconds(max(_LEAST_WAIT, deadline - self._clock.now()))
-        connection.timeout = left
-        if connection.sock is not None:
-            connection.sock.settimeout(left)
+    def seconds_left(self, deadline: Millis) -> float:
+        """Return how long a wait until the deadline may last."""
+        return seconds(max(_LEAST_WAIT, deadline - self._clock.now()))
 
     def put_back(self, address: Address, connection: HTTPConnection) -> None:
         """Keep a connection whose exchange ended cleanly."""
--- a/verbenathread/entry/exchange.py
+++ b/verbenathread/entry/exchange.py
@@ -33,6 +33,8 @@
     body_bytes: int
     # Longest time in ms to receive a request.
     body_timeout: Millis
+    # Longest time in ms that one write may wait for a slow reader.
+    write_wait: Millis = 10_000
 
 
 class Exchange:
@@ -104,9 +106,12 @@
     ) -> None:
         """Send a whole answer at once."""
         lines = ((_TYPE, content_type), ('Content-Length', str(len(content))))
+        writer = self._request.conn.wfile
+        writer.hold()
         self._send_headers(status, (*lines, *headers))
         if self.method != 'HEAD':
-            self._request.write(content)
+            writer.write(content)
+        writer.release()
 
     def start_stream(
         self,
@@ -114,13 +119,31 @@
         content_type: str,
         headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
-        """Send the head of an answer whose length is not known yet."""
+        """Hold the head of a streamed answer until its first part."""
+        self._request.conn.wfile.hold()
         lines = ((_TYPE, content_type), ('Cache-Control', 'no-cache'))
         self._send_headers(status, (*lines, *headers))
 
     def write(self, block: bytes) -> None:
         """Send one part of a streamed answer at once."""
-        self._request.write(block)
+        writer = self._request.conn.wfile
+        writer.write(self._framed(block))
+        writer.release()
+
+    def write_ready(self, block: bytes) -> bytes:
+        """Send without waiting; return the bytes that are left to send."""
+        framed = self._framed(block)
+        if self.sock.gettimeout() != 0:
+            self.sock.setblocking(False)
+        try:
+            sent = self.sock.send(framed)
+        except BlockingIOError:
+            return framed
+        return framed[sent:]
+
+    def write_rest(self, rest: bytes) -> None:
+        """Send what :meth:`write_ready` left, waiting for a slow reader."""
+        self._request.conn.wfile.write(rest)
 
     def refuse(self, error: CallerError) -> None:
         """Send an error as the final answer."""
@@ -141,6 +164,11 @@
         self._budget.give_back(self._held)
         self._held = 0
 
+    def _framed(self, block: bytes) -> bytes:
+        if self._request.chunked_write:
+            return b'%x\r\n%b\r\n' % (len(block), block)
+        return block
+
     def _send_headers(
         self, status: int, headers: tuple[tuple[str, str], ...]
     ) -> None:
@@ -159,14 +187,14 @@
         if self._request.chunked_read:
             # How much will come is not known: room for the largest.
             return self._limits.body_bytes
-        # The server library has checked that this is a number.
-        length = int(self.headers.get(_LENGTH, 0))
-        if length < 0:
+        text = self.headers.get(_LENGTH, '0')
+        if not text.isascii() or not text.isdigit():
             raise CallerError(
                 http.HTTPStatus.BAD_REQUEST,
                 'malformed_request',
-                'Content-Length is below zero; send the length of the body.',
+                'Content-Length is no whole number; send that of the body.',
             )
+        length = int(text)
         if length > self._limits.body_bytes:
             raise _too_large(self._limits)
         return length
--- a/verbenathread/entry/model_service.py
+++ b/verbenathread/entry/model_service.py
@@ -33,7 +33,7 @@
 )
 from verbenathread.entry.replies import CallerError
 from verbenathread.entry.request_state import CallerGone, Deadline
-from verbenathread.observability.logs import get_logger
+from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics, length_label
 from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
 from verbenathread.schema import settings_pb2
@@ -42,8 +42,6 @@
 # Time in ms beyond the deadline to write the answer that says so.
 _FINAL_ANSWER_TIME = 2000
 
-_log = get_logger('models')
-
 
 class ModelParts(NamedTuple):
     """What serving a model request needs."""
@@ -54,6 +52,7 @@
     metrics: EntryMetrics
     prompts: TokenEstimator
     outputs: OutputEstimator
+    recorder: TraceRecorder
     clock: Clock
 
 
@@ -73,21 +72,41 @@
         self._work = work
         self._texts: list[str] = []
         self._first = True
+        self._rest = b''
 
     def pieces(self, pieces: list[Piece]) -> None:
         """Take pieces that follow one another without a gap."""
+        if not pieces:
+            return
         if self._first:
             self._first = False
             self._count_first_token()
         if not self._answer.call.stream:
-            for piece in pieces:
-                self._texts.append(piece.text)
+            self._gather(pieces)
             return
         block = self._answer.events(pieces)
         if not self._exchange.answered:
             block = self._open() + block
         self._exchange.write(block)
 
+    def pieces_ready(self, pieces: list[Piece]) -> bool:
+        """Take pieces without waiting; False if some wait for a flush."""
+        if not pieces:
+            return True
+        if not self._answer.call.stream:
+            self._gather(pieces)
+            return True
+        block = self._answer.events(pieces)
+        self._rest = self._exchange.write_ready(block)
+        return not self._rest
+
+    def flush(self) -> None:
+        """Send what :meth:`pieces_ready` left, waiting for a slow reader."""
+        rest = self._rest
+        self._rest = b''
+        if rest:
+            self._exchange.write_rest(rest)
+
     def retried(self) -> None:
         """Count another attempt."""
         self._parts.metrics.retries.labels(self._work.service).inc()
@@ -109,6 +128,10 @@
         self._exchange.close_after()
         self._exchange.write(error_event(content))
 
+    def _gather(self, pieces: list[Piece]) -> None:
+        for piece in pieces:
+            self._texts.append(piece.text)
+
     def _open(self) -> bytes:
         self._exchange.start_stream(http.HTTPStatus.OK, EVENT_STREAM_TYPE)
         return self._answer.opening()
@@ -206,9 +229,10 @@
             self._parts.clock.wall() // MS_PER_SECOND,
         )
         sink = _Sink(self._parts, exchange, answer, request.work)
+        relay = Relay(self._parts.relay, request, sink)
         outcome = 'failed'
         try:
-            finish = Relay(self._parts.relay, request, sink).run()
+            finish = relay.run()
             sink.finish(finish)
             outcome = 'completed'
             self._learn(request, finish)
@@ -221,6 +245,7 @@
                 raise
             sink.fail(error)
         finally:
+            self._parts.recorder.record(request.work, relay.position)
             self._parts.metrics.requests.labels(
                 request.work.service, outcome
             ).inc()
--- a/verbenathread/membership/cell.py
+++ b/verbenathread/membership/cell.py
@@ -1,4 +1,4 @@
-"""One node of a cell: a task for each peer and one for leases.
+"""One node of a cell: a task for each peer and two for leases.
 
 Each peer's task sends a message at least once a second, and at once when
 there is news or a lease to ask for; the reply confirms it. The same message
@@ -41,8 +41,9 @@
 _FIRST_RETRY_MS = 50
 # Messages to one peer are at least this far apart, to gather news.
 _GATHER_MS = 5
-# How often leases are looked at.
-_LEASE_STEP_MS = 200
+# How often the leases of engines, and of upstreams, are looked at.
+_ENGINE_STEP_MS = 200
+_UPSTREAM_STEP_MS = 500
 # How long a leave waits for other entries.
 _LEAVE_MS = 2500
 _LEAVE_POLL_MS = 20
@@ -65,6 +66,26 @@
         """Return the reply, or raise :class:`PeerUnreachableError`."""
 
 
+class Rider(Protocol):
+    """Something else that travels with the messages of a cell."""
+
+    def compose(self, peer_id: NodeId, message: peer_pb2.PeerMessage) -> None:
+        """Put what is due for a peer into a message to it."""
+
+    def answer(
+        self, message: peer_pb2.PeerMessage, reply: peer_pb2.PeerReply
+    ) -> None:
+        """Take what came with a message, and put what is due in its reply."""
+
+    def absorb(
+        self,
+        peer_id: NodeId,
+        message: peer_pb2.PeerMessage,
+        reply: peer_pb2.PeerReply,
+    ) -> None:
+        """Take the reply to a message that was sent."""
+
+
 class NodeIdentity(NamedTuple):
     """Who a node is; the incarnation grows with each start."""
 
@@ -99,37 +120,45 @@
             identity.cell_ids,
             acceptor,
             clock,
-            self._wake,
+            self.wake,
             node_id=identity.node_id,
             lease=lease,
         )
+        self._riders: tuple[Rider, ...] = ()
         self._clock = clock
         self._transport = transport
         self._upstream_leases = UpstreamLeases(
             identity.node_id, len(identity.cell_ids), self.table, lease_of
         )
-        self._gossip = Gossip(self.table, self.views.by_id, self._wake)
+        self._gossip = Gossip(self.table, self.views.by_id, self.wake)
         self._event_by_peer = {
             peer_id: asyncio.Event() for peer_id in self.views.by_id
         }
         self._questions: tuple[int, ...] = ()
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
+    def carry(self, *riders: Rider) -> None:
+        """Let these travel with the messages; call it before the start."""
+        self._riders = (*self._riders, *riders)
+
     def start(self) -> None:
-        """Start one task for each peer and one for leases."""
+        """Start one task for each peer and two for leases."""
         links = [
             asyncio.create_task(self._link(peer_id))
             for peer_id in self.views.by_id
         ]
-        leases = asyncio.create_task(self._watch_leases())
-        self._tasks = (*links, leases)
+        self._tasks = (
+            *links,
+            asyncio.create_task(self._keep_engine_leases()),
+            asyncio.create_task(self._watch_upstream_leases()),
+        )
 
     async def stop(self) -> None:
         """Hand the leases over, tell the peers, and end all tasks."""
         self.stopping = True
         self.engine_leases.release_all()
         for peer_id in self.views.by_id:
-            self._wake(peer_id)
+            self.wake(peer_id)
         await asyncio.sleep(seconds(IDLE_MS // 2))
         await self.close()
 
@@ -183,6 +212,8 @@
                 + 'older process of the two that share this name'
             )
         self._gossip.answer(message.node_id, message, reply, now)
+        for rider in self._riders:
+            rider.answer(message, reply)
         for upstream_hash in message.heard_asks:
             age = self._upstream_leases.age(upstream_hash, now)
             reply.heard_ages.append(0 if age is None else age + 1)
@@ -206,14 +237,15 @@
             and record.state is not UpstreamState.GONE
         )
 
+    def wake(self, peer_id: NodeId) -> None:
+        """Send a peer its next message now."""
+        self._event_by_peer[peer_id].set()
+
     def serving_ids(self) -> frozenset[NodeId]:
         """Return the living nodes that do not stop, this one included."""
         serving = self.views.serving_ids(self._clock.now())
         return serving if self.stopping else serving | {self.identity.node_id}
 
-    def _wake(self, peer_id: NodeId) -> None:
-        self._event_by_peer[peer_id].set()
-
     def _retire(self, record: UpstreamRecord, state: UpstreamState) -> None:
         if self.table.retire(record, state, self._clock.now()):
             self._gossip.spread(record.upstream_id)
@@ -259,6 +291,8 @@
         )
         self._gossip.compose(peer_id, message)
         message.heard_asks.extend(self._questions)
+        for rider in self._riders:
+            rider.compose(peer_id, message)
         asks = wire.ordered_asks(
             self.engine_leases.take_asks(peer_id), view.incarnation
         )
@@ -275,6 +309,8 @@
             return
         view.note_clock(sent_at, reply.now_ms)
         self._gossip.absorb(peer_id, message, reply, now)
+        for rider in self._riders:
+            rider.absorb(peer_id, message, reply)
         self._upstream_leases.absorb(
             peer_id, wire.heard_from(message, reply), sent_at
         )
@@ -290,21 +326,26 @@
             return
         await asyncio.sleep(seconds(_GATHER_MS))
 
-    async def _watch_leases(self) -> None:
+    async def _keep_engine_leases(self) -> None:
+        while True:
+            self.engine_leases.run_step(
+                self.engine_ids(),
+                self.serving_ids(),
+                self.views.settled_ids(self._clock.now()),
+            )
+            await asyncio.sleep(seconds(_ENGINE_STEP_MS))
+
+    async def _watch_upstream_leases(self) -> None:
         while True:
             now = self._clock.now()
             alive_ids = self.views.alive_ids(now)
-            self._questions = self._upstream_leases.questions(now, alive_ids)
-            for record in self._upstream_leases.ended(now, alive_ids):
+            findings = self._upstream_leases.look(now, alive_ids)
+            self._questions = findings.asks
+            for record in findings.ended:
                 _log.info('A lease ended.', upstream=record.upstream_id)
                 self._retire(record, UpstreamState.GONE)
             self.table.forget_gone(now)
-            self.engine_leases.run_step(
-                self.engine_ids(),
-                self.serving_ids(),
-                self.views.settled_ids(now),
-            )
-            await asyncio.sleep(seconds(_LEASE_STEP_MS))
+            await asyncio.sleep(seconds(_UPSTREAM_STEP_MS))
 
 
 def _unknown_record(
--- a/verbenathread/membership/engine_leases.py
+++ b/verbenathread/membership/engine_leases.py
@@ -81,6 +81,8 @@
         self.life_by_node: dict[NodeId, int] = {}
         self.accepted_ids: set[NodeId] = set()
         self.held_until: Millis = 0
+        # Grows with each acquisition after a time without the lease.
+        self.term = 0
         self.act_at: Millis = 0
 
 
@@ -115,6 +117,26 @@
         """Tell whether this node owns the engine at this moment."""
         return self._clock.now() < self.held_until(upstream_id)
 
+    def term(self, upstream_id: UpstreamId) -> int:
+        """Return which unbroken time of ownership this is; 0 if none.
+
+        What was read of an engine in one term is void in the next, since
+        another node may have owned it between them.
+        """
+        state = self._state_by_engine.get(hash64(upstream_id))
+        if state is None or self._clock.now() >= state.held_until:
+            return 0
+        return state.term
+
+    def held_terms(self) -> dict[UpstreamId, int]:
+        """Return the present term of every engine that is held now."""
+        now = self._clock.now()
+        return {
+            state.upstream_id: state.term
+            for state in self._state_by_engine.values()
+            if now < state.held_until
+        }
+
     def held_until(self, upstream_id: UpstreamId) -> Millis:
         """Return the end of this node's lease, 0 if it never had one."""
         state = self._state_by_engine.get(hash64(upstream_id))
@@ -142,10 +164,14 @@
         other nodes.
         """
         now = self._clock.now()
-        for upstream_id in upstream_ids:
-            state = self._state(upstream_id)
+        states = [self._state(upstream_id) for upstream_id in upstream_ids]
+        due_by = now
+        if any(state.act_at <= now < state.held_until for state in states):
+            # One message renews all that are due soon as well.
+            due_by += self.lease // _RENEWALS_PER_LEASE // 2
+        for state in states:
             if now < state.held_until:
-                self._keep(state, alive_ids, settled_ids)
+                self._keep(state, alive_ids, settled_ids, due_by)
             elif now >= state.act_at and self._node_id in alive_ids:
                 self._acquire(state, alive_ids)
 
@@ -216,6 +242,7 @@
         state: _Engine,
         alive_ids: frozenset[NodeId],
         settled_ids: Collection[NodeId],
+        due_by: Millis,
     ) -> None:
         now = self._clock.now()
         preferred = self._preferences.node(state.upstream_id, alive_ids)
@@ -223,7 +250,7 @@
             self._hand_back_at = now + _HAND_BACK_MS
             self.release(state.upstream_id)
             return
-        if now < state.act_at:
+        if state.act_at > due_by:
             return
         if state.life_by_node.keys() >= alive_ids:
             state.renews = True
@@ -272,6 +299,7 @@
         if len(state.accepted_ids) < self._majority:
             return
         if now >= state.held_until:
+            state.term += 1
             state.act_at = state.began + self.lease // _RENEWALS_PER_LEASE
         state.held_until = max(
             state.held_until, state.began + shortened(self.lease)
