Try another engine without the first one's Retry-After; bound reserved reads

Cause: an engine without memory made its request wait 1 s although another was free; four slow announcements could hold every reserved worker for 10 s. Before: 1 s of waiting in the test of a full engine. Conclusion: counts in virtual time bound it, no wall time.

--- a/verbenathread/entry/http_server.py
+++ b/verbenathread/entry/http_server.py
@@ -40,7 +40,8 @@
 _BACKLOG = 1024
 # Longest time in ms to receive the headers of a request.
 _HEADER_TIMEOUT = 5000
-_RESERVED_HEADER_TIMEOUT = 1000
+# The same for a request that a reserved worker reads, its body included.
+_RESERVED_TIMEOUT = 1000
 _RETRY_AFTER_MS = 1000
 _SINGLE_HEADERS = frozenset(
     (
@@ -139,7 +140,7 @@
         self.arrival = context.clock.now()
         timeout = _HEADER_TIMEOUT
         if self.reserved:
-            timeout = _RESERVED_HEADER_TIMEOUT
+            timeout = _RESERVED_TIMEOUT
         self.times.read_by = self.arrival + timeout
         self.times.write_by = self.arrival + context.limits.write_wait
         with ExitStack() as stack:
@@ -161,9 +162,10 @@
     def respond(self) -> None:
         """Serve the request and always let go of what it held."""
         context: ServerContext = self.req.server.context
-        self.req.conn.times.read_by = (
-            self.req.conn.arrival + context.limits.body_timeout
-        )
+        timeout = context.limits.body_timeout
+        if self.req.conn.reserved:
+            timeout = min(timeout, _RESERVED_TIMEOUT)
+        self.req.conn.times.read_by = self.req.conn.arrival + timeout
         exchange = Exchange(self.req, context.limits, context.budget)
         with ExitStack() as stack:
             stack.callback(exchange.finish)
--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -137,7 +137,8 @@
                 return self._attempt()
             except EngineNotRunError as exc:
                 last_fault = exc
-                self._wait(max(backoff, exc.retry_after))
+                # Another engine comes next: this one's Retry-After is its own.
+                self._wait(backoff)
                 backoff = min(backoff * 2, _LONGEST_BACKOFF)
             except EngineBrokenError as exc:
                 last_fault = exc
