--- a/verbenathread/entry/relay.py
+++ b/verbenathread/entry/relay.py
@@ -37,7 +37,6 @@
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import settings_pb2
 from verbenathread.types import (
-    Millis,
     Outcome,
     Refusal,
     Reservation,
@@ -324,18 +323,16 @@
         """Wait until the next attempt may go out, or give the request up."""
         work = self._request.work
         outcome = Outcome.UNKNOWN
-        least_wait: Millis = 0
         if isinstance(fault, EngineNotRunError):
             outcome = Outcome.NOT_RUN
-            least_wait = fault.retry_after
         retry = self._ports.retries.next(
             work.service, attempts, outcome, work.deadline
         )
         if isinstance(retry, Refusal):
             _log.info('No retry is made.', reason=retry.message)
             raise self._given_up(fault, retry)
-        left = self._request.deadline.left()
-        self._request.gone.wait(min(max(retry.delay, least_wait), left))
+        # Another engine comes next: the Retry-After of one is its own.
+        self._request.gone.wait(retry.delay)
         self._check_gone()
 
     def _check(self) -> None:
