Move the second look into the scheduling package

Cause: the daemon's reserve should decide as the replay does. Ruled out: a copy of the rule in each. Conclusion: look_again_after beside CandidateWalk.

--- a/tests/test_scheduling_choice.py
+++ b/tests/test_scheduling_choice.py
@@ -7,7 +7,7 @@
 from tests.test_scheduling_ledger import make_work
 from verbenathread.replay.deployment import TILLERY, engine_records
 from verbenathread.replay.replay import default_policy
-from verbenathread.scheduling.candidates import CandidateWalk
+from verbenathread.scheduling.candidates import CandidateWalk, look_again_after
 from verbenathread.scheduling.estimates import (
     OutputEstimator,
     PrefillCost,
@@ -19,6 +19,7 @@
     hash_prefixes,
 )
 from verbenathread.scheduling.router import Router
+from verbenathread.scheduling.tuning import CURRENT
 from verbenathread.scheduling.weights import (
     LOAD_WITHIN,
     ModelNeed,
@@ -75,6 +76,21 @@
         self.assertTrue(walk.stays('b', 300))
         self.assertIsNone(CandidateWalk((), 50).next())
 
+    def test_when_to_look_again(self):
+        # Prompt tokens, expected wait and the delay; None stays for good.
+        cases = (
+            (3000, 100, 500),
+            (30000, 2000, 3000),
+            (30000, 90000, 5000),
+            (200000, 90000, None),
+        )
+        for tokens, wait, delay in cases:
+            with self.subTest(tokens=tokens, wait=wait):
+                found = look_again_after(
+                    make_work('r', tokens), wait, default_policy(), CURRENT
+                )
+                self.assertEqual(found, delay)
+
 
 class PrefixTest(unittest.TestCase):
     def test_events(self):
--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -18,7 +18,7 @@
 from verbenathread.replay.results import Ending, RequestResult
 from verbenathread.replay.trace import TraceRequest
 from verbenathread.scheduling.admission import Admission, memory_needed
-from verbenathread.scheduling.candidates import CandidateWalk
+from verbenathread.scheduling.candidates import CandidateWalk, look_again_after
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
 from verbenathread.scheduling.messages import Ask, Queued
@@ -36,8 +36,6 @@
     UpstreamId,
 )
 
-_LEAST_LOOK: Millis = 500
-_MOST_LOOK: Millis = 5000
 # Sets of engines tried for one group.
 _GROUP_TRIES = 6
 
@@ -243,14 +241,11 @@
 
     def _look_again_later(self, pending: Pending, wait: Millis) -> None:
         """Look for another engine if this one does not grant in time."""
-        share = self.parts.tuning.look_again
-        if not share:
+        parts = self.parts
+        delay = look_again_after(pending.work, wait, parts.policy, parts.tuning)
+        if delay is None:
             return
         walk = pending.walk
-        # A long prompt that moves loses the promise that others keep to.
-        if pending.work.prompt_tokens >= self.parts.policy.long_tokens:
-            return
-        delay = min(_MOST_LOOK, max(_LEAST_LOOK, int(wait * share)))
         self._place.later(delay, lambda: self._look_again(pending, walk))
 
     def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
--- a/verbenathread/scheduling/candidates.py
+++ b/verbenathread/scheduling/candidates.py
@@ -2,7 +2,29 @@
 
 from collections.abc import Sequence
 
-from verbenathread.types import Millis, UpstreamId
+from verbenathread.scheduling.tuning import Tuning
+from verbenathread.schema import settings_pb2
+from verbenathread.types import Millis, UpstreamId, Work
+
+_LEAST_LOOK: Millis = 500
+_MOST_LOOK: Millis = 5000
+
+
+def look_again_after(
+    work: Work,
+    expected_wait: Millis,
+    policy: settings_pb2.PolicySettings,
+    tuning: Tuning,
+) -> Millis | None:
+    """Return ms after which to choose anew if nothing was granted.
+
+    None for a long prompt: moving it loses the promise that others keep to.
+    """
+    is_long = work.prompt_tokens >= policy.long_tokens
+    if is_long or not tuning.look_again:
+        return None
+    patience = int(expected_wait * tuning.look_again)
+    return min(_MOST_LOOK, max(_LEAST_LOOK, patience))
 
 
 class CandidateWalk:
