--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -29,12 +29,13 @@
 class FakeFabric:
     """Neighbours in memory; counts its stops."""
 
+    incarnation = 1
+
     def __init__(self):
         upstreams = FakeUpstreams()
         self.ports = Ports(
             FakeSettings(), upstreams, PassingOver(upstreams), FakeClaims()
         )
-        self.incarnation = 1
         self.is_ready = False
         self.stops = 0
 
