Give the syncs of a data folder a thread of their own

Cause: syncs shared the loop's default threads with all other work of the process, which could keep a sync, and so every answer, waiting. Ruled out: syncing on the loop (heartbeats would stop).

--- a/verbenathread/consensus/files.py
+++ b/verbenathread/consensus/files.py
@@ -3,6 +3,7 @@
 import asyncio
 import fcntl
 import os
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Protocol
 
@@ -56,12 +57,16 @@
 
 
 class DiskFiles:
-    """Files on a disk; syncs run in a thread, so heartbeats go on."""
+    """Files on a disk; syncs run in a thread, so heartbeats go on.
+
+    The thread is its own: no other work can keep a sync waiting.
+    """
 
     def __init__(self, folder: Path) -> None:
         """Use ``folder``, which is made if missing."""
         self._folder = folder
         self._descriptor_by_name: dict[str, int] = {}
+        self._thread = ThreadPoolExecutor(1, 'consensus-sync')
 
     def lock(self) -> None:
         """Hold an advisory lock until :meth:`close`."""
@@ -116,11 +121,13 @@
 
     async def sync(self, name: str) -> None:
         """Sync the content of a file."""
-        await asyncio.to_thread(os.fsync, self._open(name))
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._thread, os.fsync, self._open(name))
 
     async def sync_folder(self) -> None:
         """Sync the names in the folder."""
-        await asyncio.to_thread(_sync_folder, self._folder)
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._thread, _sync_folder, self._folder)
 
     def path(self, name: str) -> str:
         """Return the path of a file."""
@@ -128,6 +135,7 @@
 
     def close(self) -> None:
         """Close every file, and with them the lock."""
+        self._thread.shutdown(wait=False, cancel_futures=True)
         for name in tuple(self._descriptor_by_name):
             self._close(name)
 
