Measure over sockets without Nagle's algorithm

Cause: a second bench gave 16 changes a second where the first gave 108; the sockets it listened on were made without naming TCP, and asyncio sets TCP_NODELAY only on sockets that name it. Ruled out: the disk (on a memory file system it was 16 as well).

--- a/tests/test_consensus_rpc.py
+++ b/tests/test_consensus_rpc.py
@@ -21,7 +21,8 @@
 
 
 def listener():
-    sock = socket.socket()
+    # Named as TCP, or the event loop would leave Nagle on.
+    sock = socket.socket(proto=socket.IPPROTO_TCP)
     sock.bind(('127.0.0.1', 0))
     return sock
 
--- a/tools/bench_consensus.py
+++ b/tools/bench_consensus.py
@@ -130,7 +130,8 @@
         clock=SystemClock(),
         random=random.Random(me.node_id),
     )
-    listener = socket.socket()
+    # Named as TCP, or the event loop would leave Nagle's algorithm on.
+    listener = socket.socket(proto=socket.IPPROTO_TCP)
     listener.bind((_LOOPBACK, 0))
     relay.target = listener.getsockname()[1]
     server = Server([ConsensusService(replica, 'bench', 'key')])
