Test one missing segment, the first and the last

Cause: tried with the check of the last segment switched off, the tests of missing files still passed, since they removed every segment at once. Before: passed without the check. After: fails without it; 9 tests of the disk passed.

--- a/tests/test_consensus_disk.py
+++ b/tests/test_consensus_disk.py
@@ -142,6 +142,20 @@
                     path.unlink()
                 self.assert_refused(words)
 
+    def test_one_missing_segment_refuses_to_start(self):
+        async def rotate(storage):
+            await storage.compact(LogSnapshot(index=3, term=1), 1)
+
+        for place in (0, -1):
+            with self.subTest(place=place):
+                self.setUp()
+                self.fill()
+                self.use(rotate)
+                segments = sorted(self.folder.glob('segment-*'))
+                self.assertEqual(len(segments), 2)
+                segments[place].unlink()
+                self.assert_refused('missing')
+
     def test_folder_of_another_cluster_or_node(self):
         self.fill()
         self.assert_refused('belongs to cluster c', cluster='other')
