--- a/verbenathread/entry/callers_side.py
+++ b/verbenathread/entry/callers_side.py
@@ -3,6 +3,7 @@
 It is wired from ports only, so it can be embedded with other neighbours.
 """
 
+from functools import partial
 from typing import NamedTuple
 
 from verbenathread.clock import Clock, SystemClock
@@ -19,6 +20,7 @@
 from verbenathread.entry.plain_exchange import PlainClient
 from verbenathread.entry.plain_service import PlainParts, PlainService
 from verbenathread.entry.ports import (
+    Admissions,
     Claims,
     Reservations,
     SharedSettings,
@@ -27,10 +29,17 @@
 from verbenathread.entry.pump import Pump
 from verbenathread.entry.reaper import Reaper
 from verbenathread.entry.relay import RelayPorts
+from verbenathread.entry.retry_budgets import RetryBudgets
 from verbenathread.entry.settler import Settler
+from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
-from verbenathread.types import Address, Millis
+from verbenathread.types import (
+    Address,
+    Millis,
+    UpstreamKind,
+    UpstreamRecord,
+)
 
 
 class Ports(NamedTuple):
@@ -40,6 +49,7 @@
     upstreams: Upstreams
     reservations: Reservations
     claims: Claims
+    admissions: Admissions
 
 
 class CallersSide:
@@ -55,6 +65,7 @@
         *,
         clock: Clock | None = None,
         engine_client: EngineClient | None = None,
+        recorder: TraceRecorder | None = None,
     ) -> None:
         """Wire the parts; nothing runs before :meth:`start`."""
         clock = clock or SystemClock()
@@ -63,6 +74,7 @@
         self.engine_client = engine_client or HttpEngineClient(
             self._pool, clock
         )
+        self._recorder = recorder or TraceRecorder('', 0, clock)
         self.watch = CallerWatch()
         self._pump = Pump(clock)
         self.reaper = Reaper(
@@ -71,6 +83,7 @@
             ports.upstreams,
             owner,
             clock,
+            partial(_known_engines, ports),
         )
         self.settler = Settler(ports.claims, clock)
         self.budget = BodyBudget(limits.buffered_bytes)
@@ -108,32 +121,40 @@
         self._pump.stop()
         self.watch.stop()
         self._pool.close()
+        self._recorder.close()
 
     def _services(
         self, ports: Ports, owner: Owner, metrics: EntryMetrics
     ) -> Services:
+        retries = RetryBudgets(self._clock)
         relay = RelayPorts(
             self.engine_client,
             ports.reservations,
             ports.upstreams,
             self.reaper,
             self._pump,
+            retries,
+            metrics,
             owner,
             self._clock,
         )
         models = ModelParts(
             ports.settings,
+            ports.admissions,
             relay,
             self.watch,
             metrics,
             TokenEstimator(),
             OutputEstimator(),
+            self._recorder,
             self._clock,
         )
         plain = PlainParts(
             ports.settings,
             ports.upstreams,
             ports.claims,
+            ports.admissions,
+            retries,
             self.settler,
             PlainClient(self._pool),
             self.watch,
@@ -151,3 +172,12 @@
         metrics.buffered.set_function(lambda: self.budget.held)
         metrics.revision.set_function(ports.settings.revision)
         metrics.unconfirmed_cancels.set_function(lambda: self.reaper.pending)
+
+
+def _known_engines(ports: Ports) -> tuple[UpstreamRecord, ...]:
+    found: list[UpstreamRecord] = []
+    for name in ports.settings.service_names():
+        for record in ports.upstreams.by_service(name):
+            if record.kind == UpstreamKind.ENGINE:
+                found.append(record)
+    return tuple(found)
--- a/verbenathread/entry/model_service.py
+++ b/verbenathread/entry/model_service.py
@@ -24,16 +24,16 @@
     ModelCall,
     parse_call,
 )
-from verbenathread.entry.ports import SharedSettings
+from verbenathread.entry.ports import Admissions, SharedSettings
 from verbenathread.entry.relay import (
     CallerGoneError,
     ModelRequest,
     Relay,
     RelayPorts,
 )
-from verbenathread.entry.replies import CallerError
+from verbenathread.entry.replies import CallerError, refusal_error
 from verbenathread.entry.request_state import CallerGone, Deadline
-from verbenathread.observability.logs import get_logger
+from verbenathread.entry.trace_recorder import TraceRecorder
 from verbenathread.observability.metrics import EntryMetrics, length_label
 from verbenathread.scheduling.estimates import OutputEstimator, TokenEstimator
 from verbenathread.schema import settings_pb2
@@ -42,18 +42,18 @@
 # Time in ms beyond the deadline to write the answer that says so.
 _FINAL_ANSWER_TIME = 2000
 
-_log = get_logger('models')
-
 
 class ModelParts(NamedTuple):
     """What serving a model request needs."""
 
     settings: SharedSettings
+    admissions: Admissions
     relay: RelayPorts
     watch: CallerWatch
     metrics: EntryMetrics
     prompts: TokenEstimator
     outputs: OutputEstimator
+    recorder: TraceRecorder
     clock: Clock
 
 
@@ -195,6 +195,9 @@
             deadline,
             gone,
         )
+        refusal = self._parts.admissions.admit(work, account.settings)
+        if refusal is not None:
+            raise refusal_error(refusal)
         with self._parts.watch.watching(exchange.sock, gone.set):
             self._serve(exchange, request)
 
@@ -230,9 +233,10 @@
             self._parts.clock.wall() // MS_PER_SECOND,
         )
         sink = _Sink(self._parts, exchange, answer, request.work)
+        relay = Relay(self._parts.relay, request, sink)
         outcome = 'failed'
         try:
-            finish = Relay(self._parts.relay, request, sink).run()
+            finish = relay.run()
             sink.finish(finish)
             outcome = 'completed'
             self._learn(request, finish)
@@ -245,6 +249,8 @@
                 raise
             sink.fail(error)
         finally:
+            self._parts.admissions.done(request.work, relay.position)
+            self._parts.recorder.record(request.work, relay.position)
             self._parts.metrics.requests.labels(
                 request.work.service, outcome
             ).inc()
--- a/verbenathread/replay/entry.py
+++ b/verbenathread/replay/entry.py
@@ -18,7 +18,7 @@
 from verbenathread.replay.results import Ending, RequestResult
 from verbenathread.replay.trace import TraceRequest
 from verbenathread.scheduling.admission import Admission, memory_needed
-from verbenathread.scheduling.candidates import CandidateWalk
+from verbenathread.scheduling.candidates import CandidateWalk, look_again_after
 from verbenathread.scheduling.estimates import OutputEstimator
 from verbenathread.scheduling.groups import GroupClaim, group_size
 from verbenathread.scheduling.messages import Ask, Queued
@@ -36,7 +36,6 @@
     UpstreamId,
 )
 
-_LEAST_LOOK: Millis = 500
 # Sets of engines tried for one group.
 _GROUP_TRIES = 6
 
@@ -162,7 +161,7 @@
         self._grants.release(pending, 0)
         pending.failures += 1
         step = self.parts.retries.next(
-            pending.work,
+            pending.work.deadline,
             pending.failures,
             Outcome.UNKNOWN,
             now,
@@ -242,11 +241,11 @@
 
     def _look_again_later(self, pending: Pending, wait: Millis) -> None:
         """Look for another engine if this one does not grant in time."""
-        share = self.parts.tuning.look_again
-        if not share:
+        parts = self.parts
+        delay = look_again_after(pending.work, wait, parts.policy, parts.tuning)
+        if delay is None:
             return
         walk = pending.walk
-        delay = max(_LEAST_LOOK, int(wait * share))
         self._place.later(delay, lambda: self._look_again(pending, walk))
 
     def _look_again(self, pending: Pending, walk: CandidateWalk) -> None:
