Never silence a descriptor that may be another stream's

Cause: found by reading: the pump silenced the descriptor of a stream that it had given back; by then its worker may have closed it, and a new stream with the same number would have waited until its deadline. Before: possible, not seen. No test brings the race about. Ruled out: one-shot events; they cost a call for every token. Conclusion: a late event finds nothing to read, or a stream given back.

--- a/verbenathread/entry/plain_service.py
+++ b/verbenathread/entry/plain_service.py
@@ -35,7 +35,6 @@
 from verbenathread.entry.request_state import CallerGone, Deadline
 from verbenathread.entry.settler import Settler
 from verbenathread.exceptions import VerbenathreadError
-from verbenathread.observability.logs import get_logger
 from verbenathread.observability.metrics import EntryMetrics
 from verbenathread.schema import control_pb2, settings_pb2
 from verbenathread.types import Outcome, UpstreamKind, UpstreamRecord
@@ -54,8 +53,6 @@
 _REPLAYED = (('Idempotent-Replayed', 'true'),)
 _NO_ATTEMPT = PlainAttempt(Outcome.NOT_RUN, None, 'No upstream is ready.')
 
-_log = get_logger('services')
-
 
 class PlainParts(NamedTuple):
     """What forwarding a call needs."""
--- a/verbenathread/entry/pump.py
+++ b/verbenathread/entry/pump.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 
 from verbenathread.clock import Clock, seconds
-from verbenathread.observability.logs import get_logger
 from verbenathread.types import Millis
 
 _POLL_SECONDS = 0.5
@@ -21,8 +20,6 @@
 # Takes what has come without waiting; False gives the stream back.
 Step = Callable[[], bool]
 
-_log = get_logger('relay')
-
 
 class _Driven:
     """One stream that the pump drives."""
@@ -33,11 +30,11 @@
         self.done = threading.Event()
         self.fault: BaseException | None = None
 
-    def run(self) -> bool:
+    def run(self) -> None:
         """Run one step unless the worker took the stream back."""
         with self.lock:
             if self.done.is_set():
-                return False
+                return
             try:
                 going_on = self.step()
             # The worker raises it again.
@@ -46,7 +43,6 @@
                 going_on = False
             if not going_on:
                 self.done.set()
-            return going_on
 
     def take_back(self) -> None:
         """Let no step run after this."""
@@ -101,11 +97,9 @@
                 self._step(descriptor)
 
     def _step(self, descriptor: int) -> None:
+        # An event may come late, when its descriptor is another stream's: a
+        # step that finds nothing to read does no harm. Nor is the descriptor
+        # silenced here when the stream is given back; its worker does that.
         driven = self._driven_by_descriptor.get(descriptor)
-        if driven is None or driven.run():
-            return
-        # Level-triggered: silent until the worker has unregistered it.
-        try:
-            self._epoll.modify(descriptor, 0)
-        except OSError:
-            return
+        if driven is not None:
+            driven.run()
