--- a/verbenathread/commands.py
+++ b/verbenathread/commands.py
@@ -13,6 +13,7 @@
 from verbenathread.command import Command, Rendered, argument
 from verbenathread.daemons import run_control, run_entry
 from verbenathread.exceptions import SettingsError
+from verbenathread.replay.command import COMMAND as REPLAY_COMMAND
 from verbenathread.settings.node import check_node_text, load_node_settings
 from verbenathread.settings.rules import Problem, options_of
 from verbenathread.settings.tree import ROOT_PATH, check_tree
@@ -130,4 +131,4 @@
 
 def all_commands() -> tuple[Command, ...]:
     """Return every command of the program."""
-    return (*CORE_COMMANDS, *OPERATOR_COMMANDS)
+    return (*CORE_COMMANDS, *OPERATOR_COMMANDS, REPLAY_COMMAND)
--- a/verbenathread/replay/measures.py
+++ b/verbenathread/replay/measures.py
@@ -60,7 +60,8 @@
     long_requests: int
     long_refused: int
     long_unfinished: int
-    # Requests complete in time, by second of the trace.
+    # Requests that completed in time while the trace lasted, by its second;
+    # what completes after the last arrival had the engines to itself.
     good_rate: float
     attempts: int
 
@@ -85,11 +86,21 @@
         long_unfinished=len(long)
         - _count(long, Ending.REFUSED)
         - _count(long, Ending.COMPLETED),
-        good_rate=completed * _MS / max(1, result.duration),
+        good_rate=_completed_during(result) * _MS / max(1, result.duration),
         attempts=result.attempts,
     )
 
 
+def _completed_during(result: ReplayResult) -> int:
+    """Return how many requests completed before the trace ended."""
+    count = 0
+    for one in result.results:
+        if one.ending is not Ending.COMPLETED:
+            continue
+        count += one.request.arrival + one.ended_after <= result.duration
+    return count
+
+
 def percentile(times: Iterable[float], share: float) -> float:
     """Return the time that ``share`` of the times do not exceed."""
     ordered = sorted(times)
--- a/verbenathread/replay/scenarios.py
+++ b/verbenathread/replay/scenarios.py
@@ -26,6 +26,8 @@
 _DURATION: Millis = 150000
 # Near capacity the queues take longer to build up.
 _LONG_DURATION: Millis = 300000
+# Overload shows only once the backlog outlasts the time limits.
+_OVERLOAD_DURATION: Millis = 600000
 _SEED = 7
 _USUAL = 0.8
 _HIGH = 0.95
@@ -77,6 +79,8 @@
 def steady(deployment: Deployment, name: str, load: float) -> Scenario:
     """Return steady traffic at a share of the capacity."""
     duration = _DURATION if load < _HIGH else _LONG_DURATION
+    if load > 1:
+        duration = _OVERLOAD_DURATION
     return Scenario(deployment, name, Shape(load, duration, _SEED))
 
 
