--- a/verbenathread/scheduling/forecast.py
+++ b/verbenathread/scheduling/forecast.py
@@ -88,7 +88,7 @@
         self._window_by_class = (tuning.short_window, tuning.middle_window, 0)
         self._prefill: list[float] = [0 for _ in LengthClass]
         self._short_only = False
-        self._shut = False
+        self.is_shut = False
         for hold in holds:
             if hold.first_token_at is not None:
                 continue
@@ -96,7 +96,7 @@
 
     def is_open(self, length: LengthClass) -> bool:
         """Tell whether a prompt of this class may go to the engine."""
-        if self._shut:
+        if self.is_shut:
             return False
         if length == LengthClass.SHORT:
             return self._in_window(length)
@@ -111,7 +111,7 @@
     def close_for_longer(self) -> None:
         """Let only short ones pass one that waits for memory."""
         self._short_only = True
-        self._shut = not self._tuning.by_class
+        self.is_shut = not self._tuning.by_class
 
     def _in_window(self, length: LengthClass) -> bool:
         window = self._window_by_class[length]
--- a/verbenathread/scheduling/granting.py
+++ b/verbenathread/scheduling/granting.py
@@ -88,6 +88,11 @@
         if outlook.wait <= 0 or self._begins_in > 0:
             self._beside = max(0, outlook.surplus)
 
+    @property
+    def is_shut(self) -> bool:
+        """Tell whether nobody else can get memory in this look."""
+        return self._gate.is_shut
+
     def may_have(self, waiting: Waiting) -> bool:
         """Tell whether an ask gets its memory now."""
         if not self._gate.is_open(waiting.length):
--- a/verbenathread/scheduling/ledger.py
+++ b/verbenathread/scheduling/ledger.py
@@ -312,6 +312,8 @@
         granter = Granter(self._book, self.policy, self._tuning, now)
         granter.protect(self._queue, self._promise)
         for waiting in self._queue.ordered():
+            if granter.is_shut:
+                break
             if granter.may_have(waiting):
                 self._grant(waiting, now)
 
