--- a/tools/bounds.py
+++ b/tools/bounds.py
@@ -7,8 +7,10 @@
 
 import argparse
 import json
+import os
 import sys
 from collections.abc import Iterator, Sequence
+from concurrent import futures
 from pathlib import Path
 from typing import NamedTuple
 
@@ -24,6 +26,7 @@
 from verbenathread.replay.results import ReplayResult, RequestResult
 from verbenathread.replay.scenarios import Scenario, scenarios
 
+_PROCESSES = max(1, (os.cpu_count() or 2) // 2)
 _KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 _BOUND_KEY = 'bound:'
 _OURS = 'current'
@@ -259,6 +262,9 @@
     parser.add_argument('--json', action='store_true', help='print JSON')
     parser.add_argument('--plot', type=Path, help='draw a chart to this file')
     parser.add_argument('--only', default='', help='scenarios named so')
+    parser.add_argument(
+        '--processes', type=int, default=_PROCESSES, help='replays at once'
+    )
     parser.add_argument(
         '--every-baseline',
         action='store_true',
@@ -275,25 +281,29 @@
 
 
 def _chosen_lines(options: argparse.Namespace) -> Iterator[Line]:
-    """Replay the scenarios that the options name, and print each line."""
+    """Replay the scenarios that the options name, and print each line.
+
+    Each replay is alone in its process; the lines come in their order.
+    """
+    chosen: list[Scenario] = []
+    policies: list[str] = []
     for scenario in scenarios():
         if options.only not in f'{scenario.deployment.name}/{scenario.name}':
             continue
         is_compared = scenario.name.startswith(_STEADY)
-        for line in _lines(scenario, is_compared or options.every_baseline):
+        names = [_OURS]
+        if is_compared or options.every_baseline:
+            names.extend(_BASELINES)
+        chosen.extend(scenario for _ in names)
+        policies.extend(names)
+    with futures.ProcessPoolExecutor(options.processes) as pool:
+        for line in pool.map(_line, chosen, policies):
             if not options.json:
                 sys.stdout.write(f'{_text(line)}\n')
                 sys.stdout.flush()
             yield line
 
 
-def _lines(scenario: Scenario, is_compared: bool) -> Iterator[Line]:
-    yield _line(scenario, _OURS)
-    if is_compared:
-        for name in _BASELINES:
-            yield _line(scenario, name)
-
-
 def _plain(line: Line) -> dict[str, object]:
     """Return a line as JSON takes it."""
     measures = line.measures._asdict()
--- a/verbenathread/entry/reservations.py
+++ b/verbenathread/entry/reservations.py
@@ -18,10 +18,12 @@
 from verbenathread.entry.hold_outbox import HoldOutbox
 from verbenathread.entry.shared import SharedTree
 from verbenathread.membership.cell import Cell
+from verbenathread.scheduling.candidates import CandidateWalk, look_again_after
 from verbenathread.scheduling.groups import GroupClaim, group_size
 from verbenathread.scheduling.messages import Ask, EngineReport
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.scheduling.router import Router
+from verbenathread.scheduling.tuning import CURRENT
 from verbenathread.schema import peer_pb2
 from verbenathread.types import (
     Millis,
@@ -218,9 +220,12 @@
     async def _single(
         self, ask: Ask, order: Sequence[UpstreamId]
     ) -> _Outcome | None:
-        refusals: dict[UpstreamId, peer_pb2.ReserveReply] = {}
-        waits: dict[UpstreamId, int] = {}
-        for upstream_id in order:
+        refusals: list[peer_pb2.ReserveReply] = []
+        walk = CandidateWalk(order, CURRENT.second_ask)
+        while True:
+            upstream_id = walk.next()
+            if upstream_id is None:
+                break
             # One after the other, or two owners would hold memory for it.
             outcome = await self._owners.reserve(  # noqa: WPS476 - see above
                 upstream_id, ask, may_queue=False
@@ -228,21 +233,34 @@
             if isinstance(outcome, Reservation):
                 return outcome
             if outcome.refusal == hold_messages.QUEUED:
-                waits[upstream_id] = outcome.retry_after_ms
+                wait = outcome.retry_after_ms
+                if walk.stays(upstream_id, wait):
+                    return await self._wait_at(  # noqa: WPS476 - see above
+                        upstream_id, ask, wait
+                    )
             elif outcome.refusal != hold_messages.NOT_OWNER:
-                refusals[upstream_id] = outcome
-        if waits:
-            shortest_id = min(waits, key=waits.__getitem__)
-            return _final(
-                await self._owners.reserve(shortest_id, ask, may_queue=True)
-            )
+                refusals.append(outcome)
         if not refusals:
             return None
-        soonest = min(
-            refusals.values(), key=lambda refusal: refusal.retry_after_ms
-        )
+        soonest = min(refusals, key=lambda refusal: refusal.retry_after_ms)
         return hold_messages.refusal_of(soonest)
 
+    async def _wait_at(
+        self, upstream_id: UpstreamId, ask: Ask, expected_wait: Millis
+    ) -> _Outcome | None:
+        """Wait in one engine's queue; None when it is time to look again."""
+        policy = self._settings.policy(ask.work.service)
+        patience = look_again_after(ask.work, expected_wait, policy, CURRENT)
+        limit = None if patience is None else seconds(patience)
+        try:
+            async with asyncio.timeout(limit):
+                return _final(
+                    await self._owners.reserve(upstream_id, ask, may_queue=True)
+                )
+        except TimeoutError:
+            # The cancelled ask leaves the queue of the owner.
+            return None
+
     async def _group(
         self,
         work: Work,
