--- a/verbenathread/entry/reservations.py
+++ b/verbenathread/entry/reservations.py
@@ -222,28 +222,22 @@
     ) -> _Outcome | None:
         refusals: list[peer_pb2.ReserveReply] = []
         walk = CandidateWalk(order, CURRENT.second_ask)
-        while True:
-            upstream_id = walk.next()
-            if upstream_id is None:
-                break
+        for upstream_id in iter(walk.next, None):
             # One after the other, or two owners would hold memory for it.
             outcome = await self._owners.reserve(  # noqa: WPS476 - see above
                 upstream_id, ask, may_queue=False
             )
             if isinstance(outcome, Reservation):
                 return outcome
-            if outcome.refusal == hold_messages.QUEUED:
-                wait = outcome.retry_after_ms
-                if walk.stays(upstream_id, wait):
-                    return await self._wait_at(  # noqa: WPS476 - see above
-                        upstream_id, ask, wait
-                    )
-            elif outcome.refusal != hold_messages.NOT_OWNER:
+            if outcome.refusal != hold_messages.QUEUED:
                 refusals.append(outcome)
-        if not refusals:
-            return None
-        soonest = min(refusals, key=lambda refusal: refusal.retry_after_ms)
-        return hold_messages.refusal_of(soonest)
+                continue
+            wait = outcome.retry_after_ms
+            if walk.stays(upstream_id, wait):
+                return await self._wait_at(  # noqa: WPS476 - see above
+                    upstream_id, ask, wait
+                )
+        return _soonest(refusals)
 
     async def _wait_at(
         self, upstream_id: UpstreamId, ask: Ask, expected_wait: Millis
@@ -361,6 +355,19 @@
     return [*order, *rest][:size]
 
 
+def _soonest(refusals: Sequence[peer_pb2.ReserveReply]) -> Refusal | None:
+    """Return the refusal that says to come back first; None without one."""
+    final = [
+        refusal
+        for refusal in refusals
+        if refusal.refusal != hold_messages.NOT_OWNER
+    ]
+    if not final:
+        return None
+    soonest = min(final, key=lambda refusal: refusal.retry_after_ms)
+    return hold_messages.refusal_of(soonest)
+
+
 def _final(outcome: Reservation | peer_pb2.ReserveReply) -> _Outcome | None:
     if isinstance(outcome, Reservation):
         return outcome
