Test that an unknown call goes to no other upstream, and pool hygiene

Cause: with mechanisms switched off one by one in a scratch copy, two were missed: a claimed call repeated at a second upstream, and a connection pooled after an unclean end; other defences or a single upstream hid them. Ruled out: relying on the attempt's name alone.

--- a/tests/test_entry_plain_service.py
+++ b/tests/test_entry_plain_service.py
@@ -86,6 +86,21 @@
         counted = service.state.runs_by_key.get(key or 'no-key', 0)
         self.assertEqual(counted, runs)
 
+    def test_unknown_is_not_tried_at_another_upstream(self):
+        first = self.service('--fault', 'die-after')
+        second = LocalStandIn('service', '--fault', 'die-after')
+        self.addCleanup(second.stop)
+        entry = self.entries[0]
+        self.assertEqual(second.announce(entry.address), 200)
+        for runs, key in enumerate(('k', ''), start=1):
+            with self.subTest(key=key):
+                first.state.faults_left = 1
+                second.state.faults_left = 1
+                self.assertEqual(self.send(entry, key).status, 502)
+                counted = sum(first.state.runs_by_key.values())
+                counted += sum(second.state.runs_by_key.values())
+                self.assertEqual(counted, runs)
+
     def test_same_key_at_two_entries_at_once_runs_once(self):
         service = self.service('--slow', '0.2')
         self.claims.lost_settles = 2
--- a/verbenathread/entry/connections.py
+++ b/verbenathread/entry/connections.py
@@ -224,6 +224,11 @@
                 return
         connection.close()
 
+    def idle_count(self) -> int:
+        """Return how many connections wait to be used again."""
+        with self._lock:
+            return sum(map(len, self._idle_by_address.values()))
+
     def close(self) -> None:
         """Close every idle connection."""
         with self._lock:
