--- /dev/null
+++ b/verbenathread/entry/claim_answers.py
@@ -0,0 +1,81 @@
+"""What a caller is answered whose call stands under a claim."""
+
+import http
+from typing import NoReturn
+
+from verbenathread.entry.exchange import Exchange
+from verbenathread.entry.plain_exchange import PlainAnswer
+from verbenathread.entry.replies import CallerError, RunState
+from verbenathread.schema import control_pb2
+
+_RETRY_AFTER_MS = 1000
+_REPLAYED = (('Idempotent-Replayed', 'true'),)
+
+
+def answer_claimed_before(
+    exchange: Exchange, reply: control_pb2.ClaimReply
+) -> None:
+    """Answer an arrival whose key was claimed before.
+
+    Raises :class:`CallerError` unless its answer is stored.
+    """
+    if reply.state == control_pb2.CLAIM_COMPLETED:
+        stored = reply.stored
+        headers = (*_REPLAYED, ('X-Run-State', RunState.RUN.value))
+        exchange.reply(stored.status, stored.body, stored.content_type, headers)
+        return
+    _refuse_claimed(reply)
+
+
+def _refuse_claimed(reply: control_pb2.ClaimReply) -> NoReturn:
+    wait = reply.retry_after_ms or _RETRY_AFTER_MS
+    if reply.state == control_pb2.CLAIM_IN_PROGRESS:
+        raise CallerError(
+            http.HTTPStatus.CONFLICT,
+            'in_progress',
+            'A call with this Idempotency-Key is running; send it again '
+            'later to get its answer.',
+            run_state=RunState.MAY_HAVE_RUN,
+            retry_after=wait,
+        )
+    if reply.state == control_pb2.CLAIM_OUTCOME_UNKNOWN:
+        raise CallerError(
+            http.HTTPStatus.CONFLICT,
+            'outcome_unknown',
+            'The call with this Idempotency-Key may have run, and nobody can '
+            'tell; look its effect up, and use a new key if it did not run.',
+            run_state=RunState.MAY_HAVE_RUN,
+        )
+    if reply.state == control_pb2.CLAIM_MISMATCH:
+        raise CallerError(
+            http.HTTPStatus.UNPROCESSABLE_ENTITY,
+            'idempotency_key_reused',
+            'This Idempotency-Key was used for another call; '
+            'use a new key for each call.',
+        )
+    raise CallerError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'not_run',
+        'The call was not run; send it again with the same key.',
+        retry_after=wait,
+    )
+
+
+def no_quorum() -> CallerError:
+    """Return the refusal of a call whose claim was not recorded."""
+    return CallerError(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'no_quorum',
+        'The call could not be recorded, so it was not run; '
+        'send it again later with the same key.',
+        retry_after=_RETRY_AFTER_MS,
+    )
+
+
+def stored_answer(answer: PlainAnswer) -> control_pb2.StoredAnswer:
+    """Return an answer as the claim keeps it."""
+    return control_pb2.StoredAnswer(
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+    )
--- a/verbenathread/entry/plain_service.py
+++ b/verbenathread/entry/plain_service.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 import uuid
-from typing import NamedTuple, NoReturn
+from typing import NamedTuple
 from urllib.parse import quote
 
 from verbenathread.clock import Clock
@@ -21,11 +21,15 @@
     service_of,
 )
 from verbenathread.entry.caller_watch import CallerWatch
+from verbenathread.entry.claim_answers import (
+    answer_claimed_before,
+    no_quorum,
+    stored_answer,
+)
 from verbenathread.entry.engine_client import Owner
 from verbenathread.entry.exchange import Exchange
 from verbenathread.entry.plain_exchange import (
     IDEMPOTENCY_HEADER,
-    PlainAnswer,
     PlainAttempt,
     PlainCall,
     PlainClient,
@@ -61,7 +65,6 @@
 _PATH_PARTS_BEFORE_REST = 3
 # Characters that a path may hold as they are, by RFC 3986.
 _PATH_CHARACTERS = "/%:@!$&'()*+,;=~-._"
-_REPLAYED = (('Idempotent-Replayed', 'true'),)
 _NO_ATTEMPT = PlainAttempt(Outcome.NOT_RUN, None, 'No upstream is ready.')
 
 
@@ -214,13 +217,13 @@
             reply = self._parts.claims.claim(claim, limit)
         except (VerbenathreadError, OSError) as exc:
             self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
-            raise _no_quorum() from exc
+            raise no_quorum() from exc
         if reply.answer.code != control_pb2.OK:
             # The claim may stand all the same: nothing was sent under it.
             self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
-            raise _no_quorum()
+            raise no_quorum()
         if reply.state != control_pb2.CLAIM_HELD:
-            _answer_claimed_before(request, reply)
+            answer_claimed_before(request.exchange, reply)
             return
         attempt = self._send_claimed(request, claim)
         self._answer_once(request, attempt)
@@ -239,7 +242,7 @@
                 request,
                 claim,
                 control_pb2.CLAIM_COMPLETED,
-                _stored(attempt.answer),
+                stored_answer(attempt.answer),
             )
         elif attempt.outcome == Outcome.NOT_RUN:
             self._settle(request, claim, control_pb2.CLAIM_NOT_RUN)
@@ -334,69 +337,3 @@
     request.exchange.reply(
         answer.status, answer.body, answer.content_type, headers
     )
-
-
-def _answer_claimed_before(
-    request: _Request, reply: control_pb2.ClaimReply
-) -> None:
-    """Answer an arrival whose key was claimed before."""
-    if reply.state == control_pb2.CLAIM_COMPLETED:
-        stored = reply.stored
-        headers = (*_REPLAYED, ('X-Run-State', RunState.RUN.value))
-        request.exchange.reply(
-            stored.status, stored.body, stored.content_type, headers
-        )
-        return
-    _refuse_claimed(reply)
-
-
-def _refuse_claimed(reply: control_pb2.ClaimReply) -> NoReturn:
-    wait = reply.retry_after_ms or _RETRY_AFTER_MS
-    if reply.state == control_pb2.CLAIM_IN_PROGRESS:
-        raise CallerError(
-            http.HTTPStatus.CONFLICT,
-            'in_progress',
-            'A call with this Idempotency-Key is running; send it again '
-            'later to get its answer.',
-            run_state=RunState.MAY_HAVE_RUN,
-            retry_after=wait,
-        )
-    if reply.state == control_pb2.CLAIM_OUTCOME_UNKNOWN:
-        raise CallerError(
-            http.HTTPStatus.CONFLICT,
-            'outcome_unknown',
-            'The call with this Idempotency-Key may have run, and nobody can '
-            'tell; look its effect up, and use a new key if it did not run.',
-            run_state=RunState.MAY_HAVE_RUN,
-        )
-    if reply.state == control_pb2.CLAIM_MISMATCH:
-        raise CallerError(
-            http.HTTPStatus.UNPROCESSABLE_ENTITY,
-            'idempotency_key_reused',
-            'This Idempotency-Key was used for another call; '
-            'use a new key for each call.',
-        )
-    raise CallerError(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'not_run',
-        'The call was not run; send it again with the same key.',
-        retry_after=wait,
-    )
-
-
-def _no_quorum() -> CallerError:
-    return CallerError(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'no_quorum',
-        'The call could not be recorded, so it was not run; '
-        'send it again later with the same key.',
-        retry_after=_RETRY_AFTER_MS,
-    )
-
-
-def _stored(answer: PlainAnswer) -> control_pb2.StoredAnswer:
-    return control_pb2.StoredAnswer(
-        status=answer.status,
-        content_type=answer.content_type,
-        body=answer.body,
-    )
