--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 demo: $(VENV)/.stamp ## run the whole system on loopback and print what happened
 	$(RUN) -m tools.demo
 
-test: lint unit bounds ## formatter, linter, types, every test, every bound
+test: lint bounds unit ## formatter, linter, types, every test, every bound
 
 unit: $(VENV)/.stamp ## every test
 	$(RUN) -m tools.run_tests
@@ -29,6 +29,7 @@
 	$(BIN)/ruff check $(CODE)
 	$(BIN)/flake8 $(CODE)
 	$(BIN)/mypy
+	$(RUN) -m tools.settings_page --check
 
 format: $(VENV)/.stamp ## put every file into the house format
 	$(BIN)/ruff format $(CODE)
@@ -39,6 +40,7 @@
 
 bench: $(VENV)/.stamp ## cost of a request, of a token and of a decision
 	$(RUN) -m tools.bench
+	$(RUN) -m tools.bench_decisions
 
 slopes: $(VENV)/.stamp ## measure the slopes behind docs/CAPACITY.md
 	$(RUN) -m tools.slopes
