Kill and freeze processes of a whole fleet

Cause: leaves, bookings and leases were proved in virtual time and in one process; real processes under SIGKILL and SIGSTOP were not. Before: nothing of the kind. After: a leave survives its entry and all of control; a booking whose entry is killed runs once and is answered as unknown; an entry frozen for 12 s wakes, all requests are whole, engines hold nothing.

--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -12,6 +12,8 @@
     def __init__(self, options):
         self.options = options
         self.runs_by_key = {}
+        # Keys of the calls that have come, in their order.
+        self.came = []
         self.lock = threading.Lock()
         self.faults_left = options.faults
 
@@ -38,16 +40,22 @@
         if self.bookings.fault('drop-get'):
             self.cut()
             return
-        self.answer({'runs_by_key': self.bookings.runs_by_key})
+        self.answer(
+            {
+                'runs_by_key': self.bookings.runs_by_key,
+                'came': self.bookings.came,
+            }
+        )
 
     def do_POST(self):
         self.read_body()
         if self.bookings.fault('die-before'):
             self.cut()
             return
+        key = self.headers.get('Idempotency-Key', 'no-key')
+        self.bookings.came.append(key)
         if self.bookings.options.slow:
             time.sleep(self.bookings.options.slow)
-        key = self.headers.get('Idempotency-Key', 'no-key')
         runs = self.bookings.run(key)
         if self.bookings.fault('die-after'):
             self.cut()
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,184 @@
+"""Tests of a whole fleet of processes, killed and frozen by signal."""
+
+import signal
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+import urllib3
+
+from tests.standins.serving import tell_entry
+from tools.local_cluster import (
+    ACCOUNT_KEY,
+    ANNOUNCE_KEY,
+    LEDGER,
+    MODEL,
+    LocalCluster,
+    Size,
+)
+from tools.processes import Processes, wait_for
+
+ENTRIES = 3
+FIRST_ENGINE_PORT = 18100
+ENGINES = 2
+LEDGER_ADDRESS = '127.1.3.1:18200'
+START_LIMIT_SECONDS = 60
+ANSWER_TOKENS = 20
+HEADERS = {'Authorization': f'Bearer {ACCOUNT_KEY}'}
+# What the brief calls a few seconds; issue 4 names 3.
+LEAVE_SECONDS = 3
+# Longer than the lease of an engine, so that another entry owns it then.
+FREEZE_SECONDS = 12
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.processes = Processes(Path(folder.name))
+        self.addCleanup(self.processes.kill_all)
+        self.http = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(connect=2, read=60)
+        )
+        self.addCleanup(self.http.clear)
+        self.cluster = LocalCluster(self.processes, Size(3, ENTRIES))
+        self.cluster.start()
+        for number in range(ENGINES):
+            self.stand_in(
+                'engine',
+                f'engine-{number}',
+                f'127.1.3.1:{FIRST_ENGINE_PORT + number}',
+                MODEL,
+            )
+        wait_for('answers', self.all_answer, START_LIMIT_SECONDS)
+
+    def stand_in(self, module, name, listen, service, *options):
+        entries = ','.join(map(self.entry, range(1, ENTRIES + 1)))
+        self.processes.start(
+            name, f'tests.standins.{module}', '--id', name,
+            '--listen', listen, '--service', service, '--entry', entries,
+            '--announce-key', ANNOUNCE_KEY, *options,
+        )  # fmt: skip
+
+    def entry(self, number):
+        return f'{self.cluster.entry_ip(number)}:18080'
+
+    def signal(self, name, number):
+        self.processes.by_name[name].send(number)
+
+    def ask(self, entry, answers=None):
+        try:
+            answer = self.http.request(
+                'POST',
+                f'http://{self.entry(entry)}/v1/completions',
+                json={'model': MODEL, 'prompt': 'any cot tonight?'},
+                headers=HEADERS,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        held = answer.status == 200 and (
+            answer.json()['usage']['completion_tokens'] == ANSWER_TOKENS
+        )
+        if answers is not None:
+            answers.append(held)
+        return held
+
+    def all_answer(self, entries=(1, 2, 3)):
+        return all(self.ask(entry) for entry in entries)
+
+    def engine(self, number, path):
+        address = f'127.1.3.1:{FIRST_ENGINE_PORT + number}'
+        return self.http.request('GET', f'http://{address}/v1/{path}').json()
+
+    def nothing_held(self):
+        return not any(
+            self.engine(number, 'holds')['holds'] for number in range(ENGINES)
+        )
+
+    def test_leave_outlives_its_entry_and_control(self):
+        for number in (1, 2, 3):
+            self.signal(f'control-{number}', signal.SIGKILL)
+        members = {
+            'upstream_id': 'engine-0',
+            'incarnation': 1,
+            'service': MODEL,
+        }
+        status = tell_entry(self.entry(1), 'leave', ANNOUNCE_KEY, members)
+        self.assertEqual(status, 200)
+        self.signal('entry-1', signal.SIGKILL)
+        time.sleep(LEAVE_SECONDS)
+        # The stand-in goes on renewing, which must not bring it back.
+        before = self.engine(0, 'load')['generated']
+        wait_for(
+            'answers of the rest',
+            lambda: self.all_answer((2, 3)),
+            START_LIMIT_SECONDS,
+        )
+        for _ in range(10):
+            self.assertTrue(self.all_answer((2, 3)))
+        self.assertEqual(self.engine(0, 'load')['generated'], before)
+
+    def test_booking_runs_once_when_its_entry_is_killed(self):
+        self.stand_in(
+            'service', 'ledger', LEDGER_ADDRESS, LEDGER, '--slow', '2'
+        )
+        wait_for('ledger', self.ledger_known, START_LIMIT_SECONDS)
+        first = threading.Thread(target=self.book, args=(1,))
+        first.start()
+        wait_for('call', lambda: self.ledger()['came'], START_LIMIT_SECONDS)
+        self.signal('entry-1', signal.SIGKILL)
+        first.join()
+        # Until control takes the owner for gone, and after.
+        states = set()
+        for _ in range(40):
+            answer = self.book(3)
+            states.add((answer.status, answer.json()['error']['code']))
+            if (409, 'outcome_unknown') in states:
+                break
+            time.sleep(0.5)
+        self.assertIn((409, 'outcome_unknown'), states)
+        self.assertLessEqual(
+            states, {(409, 'in_progress'), (409, 'outcome_unknown')}
+        )
+        self.assertEqual(self.ledger()['runs_by_key'], {'one': 1})
+
+    def test_frozen_entry_wakes_and_promises_nothing_twice(self):
+        answers = []
+        self.signal('entry-1', signal.SIGSTOP)
+        ends = time.monotonic() + FREEZE_SECONDS
+        while time.monotonic() < ends:
+            for entry in (2, 3):
+                self.ask(entry, answers)
+        self.signal('entry-1', signal.SIGCONT)
+        wait_for('answers', self.all_answer, START_LIMIT_SECONDS)
+        # Requests that waited for the frozen owner found another one.
+        self.assertEqual(answers.count(False), 0)
+        wait_for('no holds', self.nothing_held, START_LIMIT_SECONDS)
+
+    def book(self, entry):
+        try:
+            return self.http.request(
+                'POST',
+                f'http://{self.entry(entry)}/services/{LEDGER}/holds',
+                body=b'cot 7',
+                headers={**HEADERS, 'Idempotency-Key': 'one'},
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def ledger_known(self):
+        return all(
+            self.http.request(
+                'GET',
+                f'http://{self.entry(entry)}/services/{LEDGER}/holds',
+                headers=HEADERS,
+            ).status
+            == 200
+            for entry in (1, 2, 3)
+        )
+
+    def ledger(self):
+        answer = self.http.request('GET', f'http://{LEDGER_ADDRESS}/holds')
+        return answer.json()
