--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from pathlib import Path
+from types import MappingProxyType
 
 import urllib3
 
@@ -26,7 +27,7 @@
 LEDGER_ADDRESS = '127.1.3.1:18200'
 START_LIMIT_SECONDS = 60
 ANSWER_TOKENS = 20
-HEADERS = {'Authorization': f'Bearer {ACCOUNT_KEY}'}
+HEADERS = MappingProxyType({'Authorization': f'Bearer {ACCOUNT_KEY}'})
 # What the brief calls a few seconds; issue 4 names 3.
 LEAVE_SECONDS = 3
 # Longer than the lease of an engine, so that another entry owns it then.
