--- a/verbenathread/admin/commands.py
+++ b/verbenathread/admin/commands.py
@@ -159,7 +159,13 @@
         fleet.run_audit,
         '--path /desk --after 120',
         argument('--path', help='only this branch and those below it'),
-        argument('--after', type=int, default=0, metavar='INDEX'),
+        argument(
+            '--after',
+            type=int,
+            default=0,
+            metavar='INDEX',
+            help='records after this index; else the newest ones',
+        ),
         _LIMIT,
     )
     yield _command('status', fleet.run_status, '')
--- a/verbenathread/control/audit.py
+++ b/verbenathread/control/audit.py
@@ -42,7 +42,12 @@
     def after(
         self, index: int, limit: int, path: str = ''
     ) -> list[control_pb2.AuditRecord]:
-        """Return up to ``limit`` records after ``index``, oldest first."""
+        """Return up to ``limit`` records after ``index``, oldest first.
+
+        Index 0 asks for the newest ones.
+        """
+        if not index:
+            return self._newest(limit, path)
         found: list[control_pb2.AuditRecord] = []
         for record in self._records:
             if len(found) >= limit:
@@ -74,6 +79,17 @@
     def _over_bytes(self) -> bool:
         return self._bytes > self._most_bytes and len(self._records) > 1
 
+    def _newest(self, limit: int, path: str) -> list[control_pb2.AuditRecord]:
+        """Return the last ``limit`` records, oldest first."""
+        found: list[control_pb2.AuditRecord] = []
+        for record in reversed(self._records):
+            if len(found) >= limit:
+                break
+            if _concerns(record, path):
+                found.append(record)
+        found.reverse()
+        return found
+
 
 def _concerns(record: control_pb2.AuditRecord, path: str) -> bool:
     return not path or covers(path, record.subject)
