--- a/tests/test_scheduling_choice.py
+++ b/tests/test_scheduling_choice.py
@@ -13,6 +13,7 @@
     PrefillCost,
     TokenEstimator,
 )
+from verbenathread.scheduling.messages import EngineReport
 from verbenathread.scheduling.prefixes import (
     CacheEvent,
     PrefixIndex,
@@ -56,6 +57,33 @@
             looked_at.add(router.looked_at)
         self.assertEqual(len(looked_at), 1)
 
+    def test_one_known_rate_does_not_draw_every_prompt(self):
+        # One engine was used and is faster than the first guess, which the
+        # others still report; they may be as fast. Nothing else runs.
+        records = engine_records(TILLERY._replace(engines=4))
+        router = make_router(1)
+        for record in records:
+            is_known = record.upstream_id == 'e0002'
+            report = EngineReport(
+                upstream_id=record.upstream_id,
+                sequence=1,
+                memory_tokens=record.memory_tokens,
+                free_tokens=record.memory_tokens,
+                running=0,
+                queued=0,
+                backlog_by_class=(5, 0, 0) if is_known else (0, 0, 0),
+                granted_by_class=(0, 0, 0),
+                prefill_us=5000 if is_known else 50000,
+                output_us=2000,
+            )
+            router.note_report(report, 0)
+        chosen = Counter()
+        for number in range(40):
+            work = make_work(f'r{number}', 3000)
+            first = router.choose(work, records, 0)[0]
+            chosen[first] += 1
+        self.assertLess(chosen['e0002'], 20)
+
     def test_passes_over_failed_engines(self):
         records = engine_records(TILLERY._replace(engines=3))
         router = make_router(1)
