--- a/verbenathread/admin/config_commands.py
+++ b/verbenathread/admin/config_commands.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NamedTuple
 
 from verbenathread.admin import branch_text, render
 from verbenathread.admin.client import ControlClient
@@ -12,6 +13,23 @@
 from verbenathread.settings.tree import covers, key_hash, parse_branch
 
 
+class _Columns(NamedTuple):
+    """What a list shows beside the name and the branch of each section."""
+
+    titles: tuple[str, ...]
+    options: tuple[str, ...]
+
+
+_ACCOUNT_COLUMNS = _Columns(
+    ('account', 'branch', 'requests/s', 'tokens/s', 'services'),
+    ('requests_per_second', 'tokens_per_second', 'services'),
+)
+_SERVICE_COLUMNS = _Columns(
+    ('service', 'branch', 'kind', 'time limit (ms)', 'fencing'),
+    ('kind', 'time_limit', 'fencing'),
+)
+
+
 async def run_config_get(
     client: ControlClient, options: argparse.Namespace
 ) -> Rendered:
@@ -91,44 +109,14 @@
     client: ControlClient, _options: argparse.Namespace
 ) -> Rendered:
     """List client accounts."""
-    reply = await client.read_tree()
-    rows = []
-    for branch in reply.branches:
-        parsed = parse_branch(branch.path, branch.text)[0].settings
-        for name, account in sorted(parsed.account_by_name.items()):
-            rows.append(
-                (
-                    name,
-                    branch.path,
-                    account.requests_per_second,
-                    account.tokens_per_second,
-                    account.services,
-                )
-            )
-    titles = ('account', 'branch', 'requests/s', 'tokens/s', 'services')
-    return _rows(titles, rows)
+    return await _list(client, 'account_by_name', _ACCOUNT_COLUMNS)
 
 
 async def run_service_list(
     client: ControlClient, _options: argparse.Namespace
 ) -> Rendered:
     """List services."""
-    reply = await client.read_tree()
-    rows = []
-    for branch in reply.branches:
-        parsed = parse_branch(branch.path, branch.text)[0].settings
-        for name, service in sorted(parsed.service_by_name.items()):
-            rows.append(
-                (
-                    name,
-                    branch.path,
-                    service.kind,
-                    service.time_limit,
-                    service.fencing,
-                )
-            )
-    titles = ('service', 'branch', 'kind', 'time limit (ms)', 'fencing')
-    return _rows(titles, rows)
+    return await _list(client, 'service_by_name', _SERVICE_COLUMNS)
 
 
 async def run_account_add(
@@ -159,6 +147,20 @@
     return await _remove(client, options, f'service {options.name}')
 
 
+async def _list(
+    client: ControlClient, field: str, columns: _Columns
+) -> Rendered:
+    """Return one row for each named section of every branch."""
+    reply = await client.read_tree()
+    rows = []
+    for branch in reply.branches:
+        parsed = parse_branch(branch.path, branch.text)[0].settings
+        for name, section in sorted(getattr(parsed, field).items()):
+            options = [getattr(section, option) for option in columns.options]
+            rows.append((name, branch.path, *options))
+    return _rows(columns.titles, rows)
+
+
 async def _add(
     client: ControlClient,
     options: argparse.Namespace,
--- a/verbenathread/entry/owned_engine.py
+++ b/verbenathread/entry/owned_engine.py
@@ -1,10 +1,10 @@
 """One engine whose memory this entry owns: its ledger, grants and waiters.
 
 A grant counts as started at once, but for a part of a group, which may yield
-to another group until the whole group is held. Its memory comes back only when the entry
-that asked releases it, or when the engine, read after the last moment at
-which the attempt could reach it, does not list the attempt. So a lost
-message gives no memory out twice.
+to another group until the whole group is held. Its memory comes back only
+when the entry that asked releases it, or when the engine, read after the last
+moment at which the attempt could reach it, does not list the attempt. So a
+lost message gives no memory out twice.
 """
 
 import asyncio
--- /dev/null
+++ b/verbenathread/entry/pending_work.py
@@ -0,0 +1,50 @@
+"""A thread that works off what is pending, and is waited for at a stop."""
+
+import threading
+from collections.abc import Sized
+
+from verbenathread.clock import Clock, seconds
+from verbenathread.types import Millis
+
+
+class PendingWork:
+    """Base of the entry's threads that try until something is confirmed.
+
+    A subclass keeps what is pending in ``_pending``, changes it only while it
+    holds ``_changed``, and ends :meth:`_run` once ``_stopping`` is set.
+    """
+
+    _pending: Sized
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        """Start nothing before :meth:`start`; ``name`` is the thread's."""
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    @property
+    def pending(self) -> int:
+        """Return how much is not confirmed."""
+        with self._changed:
+            return len(self._pending)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self, limit: Millis) -> None:
+        """Wait up to ``limit`` ms for what is pending, then end."""
+        deadline = self._clock.now() + limit
+        with self._changed:
+            while self._pending and self._clock.now() < deadline:
+                left = deadline - self._clock.now()
+                self._changed.wait(seconds(max(1, left)))
+            self._stopping = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def _run(self) -> None:
+        raise NotImplementedError
--- a/verbenathread/entry/reaper.py
+++ b/verbenathread/entry/reaper.py
@@ -8,7 +8,6 @@
 
 import heapq
 import itertools
-import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
     EngineNotRunError,
     EngineRejectedError,
 )
+from verbenathread.entry.pending_work import PendingWork
 from verbenathread.entry.ports import Reservations, Upstreams
 from verbenathread.observability.logs import get_logger
 from verbenathread.types import (
@@ -52,8 +52,12 @@
     wait: Millis
 
 
-class Reaper:
-    """One thread that ends what broken attempts left at engines."""
+class Reaper(PendingWork):
+    """One thread that ends what broken attempts left at engines.
+
+    What is pending at the end of a stop is reconciled by the engine's next
+    owner.
+    """
 
     def __init__(
         self,
@@ -70,46 +74,17 @@
         node may have used; the ones used since are known here.
         """
         self._known_engines = known_engines
+        super().__init__('reaper', clock)
         self._client = client
         self._reservations = reservations
         self._upstreams = upstreams
         self._owner = owner
-        self._clock = clock
         self._pending: list[_Cancel] = []
         self._numbers = itertools.count()
         self._live_attempts: set[str] = set()
         self._engine_by_id: dict[str, UpstreamRecord] = {}
         self._silent_until_by_id: dict[str, Millis] = {}
         self._next_reconcile: Millis = clock.now() + _FIRST_RECONCILE
-        self._changed = threading.Condition()
-        self._stopping = False
-        self._thread = threading.Thread(
-            target=self._run, name='reaper', daemon=True
-        )
-
-    @property
-    def pending(self) -> int:
-        """Return how many attempts are not confirmed as ended."""
-        with self._changed:
-            return len(self._pending)
-
-    def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self, limit: Millis) -> None:
-        """Wait up to ``limit`` ms for what is pending, then end.
-
-        What is left then is reconciled by the engine's next leaseholder.
-        """
-        deadline = self._clock.now() + limit
-        with self._changed:
-            while self._pending and self._clock.now() < deadline:
-                left = deadline - self._clock.now()
-                self._changed.wait(seconds(max(1, left)))
-            self._stopping = True
-            self._changed.notify_all()
-        self._thread.join()
 
     def opened(self, attempt_id: str, engine: UpstreamRecord) -> None:
         """Count an attempt as live before it is sent."""
--- a/verbenathread/entry/settler.py
+++ b/verbenathread/entry/settler.py
@@ -1,10 +1,10 @@
 """Records the outcomes of claimed calls, again and again until answered."""
 
-import threading
 from collections import deque
 from typing import NamedTuple
 
 from verbenathread.clock import Clock, seconds
+from verbenathread.entry.pending_work import PendingWork
 from verbenathread.entry.ports import Claims
 from verbenathread.exceptions import VerbenathreadError
 from verbenathread.observability.logs import get_logger
@@ -37,40 +37,14 @@
     until: Millis
 
 
-class Settler:
+class Settler(PendingWork):
     """One thread that settles claims while callers have their answers."""
 
     def __init__(self, claims: Claims, clock: Clock) -> None:
         """Start nothing before :meth:`start`."""
+        super().__init__('settler', clock)
         self._claims = claims
-        self._clock = clock
         self._pending: deque[_Pending] = deque()
-        self._changed = threading.Condition()
-        self._stopping = False
-        self._thread = threading.Thread(
-            target=self._run, name='settler', daemon=True
-        )
-
-    @property
-    def pending(self) -> int:
-        """Return how many outcomes are not recorded yet."""
-        with self._changed:
-            return len(self._pending)
-
-    def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self, limit: Millis) -> None:
-        """Wait up to ``limit`` ms for what is pending, then end."""
-        deadline = self._clock.now() + limit
-        with self._changed:
-            while self._pending and self._clock.now() < deadline:
-                left = deadline - self._clock.now()
-                self._changed.wait(seconds(max(1, left)))
-            self._stopping = True
-            self._changed.notify_all()
-        self._thread.join()
 
     def settle(
         self, request: control_pb2.SettleRequest, keep_for: Millis
--- a/verbenathread/scheduling/router.py
+++ b/verbenathread/scheduling/router.py
@@ -87,7 +87,8 @@
     ) -> list[UpstreamId]:
         """Return sampled engines, the one with the least wait first.
 
-        ``records`` are the engines of the service by their identifier; those in ``failed`` are passed over. A group needs at least
+        ``records`` are the engines of the service by their identifier; those
+        in ``failed`` are passed over. A group needs at least
         ``least`` engines, and gets a sample of more.
         """
         wanted = self.policy.candidates + len(failed) + 2 * (least - 1)
