Order loads of weights within the weight store's limit, by need

Cause: the policy option weight_loads stood in the settings and nothing obeyed it; a storm of restarts would have asked the store for all weights at once. Ruled out: a limit on followed upstreams (a new leader reads thousands of engines that show their models already; only sends are held back). Before: every load ordered at once.

--- /dev/null
+++ b/verbenathread/control/load_limit.py
@@ -0,0 +1,62 @@
+"""Keeps loads of weights within what the weight store bears.
+
+The order sender asks here before it orders a load, from its worker threads.
+"""
+
+import threading
+from collections import Counter
+from collections.abc import Callable
+
+from verbenathread.clock import Clock
+from verbenathread.scheduling.weights import (
+    ModelNeed,
+    WantedLoad,
+    WeightLoadQueue,
+)
+
+
+class LoadLimit:
+    """At most so many loads in progress over the fleet, by need.
+
+    A model that no engine shows goes first, then the one that the fewest do.
+    A load is in progress from its order until the engine shows the model.
+    """
+
+    def __init__(self, most: Callable[[], int], clock: Clock) -> None:
+        """Read the limit in force from ``most`` each time."""
+        self._most = most
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._queue = WeightLoadQueue(most())
+        self._models_by_upstream: dict[str, tuple[str, ...]] = {}
+
+    def may_load(self, upstream_id: str, model: str) -> bool:
+        """Tell whether this load may be ordered now; if not, it waits."""
+        load = WantedLoad(upstream_id, model)
+        with self._lock:
+            self._queue.most = self._most()
+            self._queue.want(load)
+            self._queue.start(self._need_by_model(), self._clock.now())
+            return self._queue.is_started(load)
+
+    def shown(self, upstream_id: str, models: tuple[str, ...]) -> None:
+        """Note the models that an engine shows, which ends their loads."""
+        with self._lock:
+            self._models_by_upstream[upstream_id] = models
+            for model in models:
+                self._queue.done(WantedLoad(upstream_id, model))
+
+    def forget(self, upstream_id: str) -> None:
+        """Free the places of an engine that does not answer or refuses."""
+        with self._lock:
+            self._models_by_upstream.pop(upstream_id, None)
+            self._queue.forget(upstream_id)
+
+    def _need_by_model(self) -> dict[str, ModelNeed]:
+        engines = Counter(
+            model
+            for models in self._models_by_upstream.values()
+            for model in models
+        )
+        # Control hears of no demand, so every model counts alike.
+        return {model: ModelNeed(1, count) for model, count in engines.items()}
--- a/verbenathread/control/orders.py
+++ b/verbenathread/control/orders.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from verbenathread.clock import Clock
+from verbenathread.control.load_limit import LoadLimit
 from verbenathread.control.machine import ControlMachine
 from verbenathread.control.order_http import (
     LeadershipLostError,
@@ -68,6 +69,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._quiet_for = int(lease * (1 + DRIFT_SHARE)) + ORDER_TIMEOUT
+        self._loads = LoadLimit(self._most_loads, clock)
         self._term = 0
         self._stopped = False
         self._quiet_until = 0
@@ -140,12 +142,16 @@
         Blocks; runs in a worker thread.
         """
         shown = self._upstreams.read(wanted.address, ORDER_TIMEOUT)
+        self._loads.shown(wanted.upstream_id, tuple(shown.models))
         fencing = newest_fencing(wanted)
         missing = []
         may_send = partial(self.may_send, term, checked=checked)
         for wanted_item in wanted.items:
             if shows(shown, wanted_item, fencing):
                 continue
+            if not self._may_order(wanted.upstream_id, wanted_item):
+                missing.append(wanted_item.slot)
+                continue
             # Every order names the newest number: it stands for the whole
             # wanted state, and an upstream that checks refuses older ones.
             order = Order(
@@ -197,8 +203,10 @@
         except LeadershipLostError:
             return
         except OrderRefusedError as refusal:
+            self._loads.forget(wanted.upstream_id)
             self._note(wanted, follow, 'refused', str(refusal))
         except UnavailableError as error:
+            self._loads.forget(wanted.upstream_id)
             self._note(wanted, follow, 'waiting', str(error))
         else:
             state = 'waiting' if missing else 'shown'
@@ -225,6 +233,17 @@
             message,
         )
 
+    def _may_order(
+        self, upstream_id: str, wanted_item: commands_pb2.WantedItem
+    ) -> bool:
+        if wanted_item.action != 'load':
+            return True
+        return self._loads.may_load(upstream_id, wanted_item.subject)
+
+    def _most_loads(self) -> int:
+        # The weight store is one for the fleet: the root's policy counts.
+        return self._machine.tree.effective().policy('').weight_loads
+
     def _is_checked(self, service: str) -> bool:
         settings = self._machine.tree.effective().service(service)
         return settings is not None and settings.fencing == _CHECKED
--- a/verbenathread/scheduling/weights.py
+++ b/verbenathread/scheduling/weights.py
@@ -46,6 +46,10 @@
         """Note that a load ended, whether it worked or not."""
         self._started_at_by_load.pop(load, None)
 
+    def is_started(self, load: WantedLoad) -> bool:
+        """Tell whether a load has its place."""
+        return load in self._started_at_by_load
+
     def forget(self, upstream_id: UpstreamId) -> None:
         """Drop the loads of an engine that is gone."""
         self._waiting_by_id.pop(upstream_id, None)
