List every section on the settings page, and let a directory advertise an address

Cause: docs/SETTINGS.md named no option of gateway and directory, though deploy/*.ini points there: the page listed sections by hand. It now takes them from the schema. For the fault soak a proxy must stand between nodes that learn addresses from one another: peer_advertise tells others where to reach peer_listen, as behind address translation; empty as before.

Ruled out: a proxy set in the seeds alone, since the directory names its members by their own addresses.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -25,6 +25,17 @@
 cell = e1@127.0.0.1:8081
 """
 
+DIRECTORY = """
+[node]
+id = d1
+data_centre = jackson-ms
+cluster = tillery
+node_key = secret
+[directory]
+seeds = 127.0.0.1:8060
+data_folder = log
+"""
+
 ACCOUNT = f'[account van]\nkey_sha256 = {HASH}\n'
 SERVICE = f'[service draft-desk]\nannounce_key_sha256 = {HASH}\n'
 
@@ -85,6 +96,11 @@
                 ' "cluster = ..." (Name of the deployment; nodes of another'
                 ' cluster are refused.)',
             ),
+            (
+                f'{DIRECTORY}peer_advertise = vm7\n',
+                "e1.ini: [directory] peer_advertise: 'vm7' is no address;"
+                ' write an IP number and a port, such as 127.0.0.1:8080',
+            ),
             (
                 'streams\n',
                 'e1.ini: : line 1 is not INI; write [section],'
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -12,11 +12,10 @@
 
 _PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'SETTINGS.md'
 
-_NODE_SECTIONS: tuple[type[Message], ...] = (
-    settings_pb2.NodeSection,
-    settings_pb2.EntrySection,
-    settings_pb2.ControlSection,
-    settings_pb2.LogSection,
+# One field of the message for each section that a file may have.
+_NODE_SECTIONS: tuple[type[Message], ...] = tuple(
+    type(getattr(settings_pb2.NodeSettings(), field.name))
+    for field in settings_pb2.NodeSettings.DESCRIPTOR.fields
 )
 _BRANCH_SECTIONS: tuple[type[Message], ...] = (
     settings_pb2.AccountSettings,
@@ -35,8 +34,9 @@
 _NODE_HEAD = """\
 ## The file of one node
 
-Read once when the process starts. A node has an `[entry]` section, a
-`[control]` section, or both.
+Read once when the process starts; `seeds` are read again while it runs. A node
+has the section of the program that it runs: `[entry]`, `[control]`, `[gateway]`
+or `[directory]`.
 """
 _TREE_HEAD = """\
 ## Branches of the shared tree
--- a/verbenathread/directory/daemon.py
+++ b/verbenathread/directory/daemon.py
@@ -62,7 +62,8 @@
         self._key = settings.node.node_key
         self._clock: Clock = SystemClock()
         self._listen = parse_address(own.listen)
-        address = parse_address(own.peer_listen)
+        self._peer_listen = parse_address(own.peer_listen)
+        address = parse_address(own.peer_advertise or own.peer_listen)
         self._me = Peer(address.host, address)
         self._seeds = SeedFile(path, 'directory')
         self._machine = DirectoryMachine()
@@ -105,7 +106,7 @@
     async def start(self) -> None:
         """Listen, load the data folder and take part in the group."""
         await self.replica.start()
-        await self._server.start(self._me.address.host, self._me.address.port)
+        await self._server.start(*self._peer_listen)
         await self._http.start(self._listen)
         if self._own.metrics_listen:
             await self._metrics.start(parse_address(self._own.metrics_listen))
--- a/verbenathread/settings/node.py
+++ b/verbenathread/settings/node.py
@@ -153,9 +153,13 @@
     readers.append(('control', 'voters', parse_peers))
     readers.append(('gateway', 'seeds', parse_addresses))
     readers.append(('directory', 'seeds', parse_addresses))
-    for title in ('gateway', 'directory'):
-        if getattr(node, title).metrics_listen:
-            readers.append((title, 'metrics_listen', parse_address))
+    for title, option in (
+        ('gateway', 'metrics_listen'),
+        ('directory', 'metrics_listen'),
+        ('directory', 'peer_advertise'),
+    ):
+        if getattr(getattr(node, title), option):
+            readers.append((title, option, parse_address))
     for title, option, reader in readers:
         if not node.HasField(title):
             continue
