Take a connection that is lost as it opens for a peer that does not answer

Cause: grpclib 0.4.9 hands out a connection whose loss was noted before its first use and fails then with AttributeError ('Connection' object has no attribute '_transport'). A channel that was closed while it connected left its connection open.

Mend: one PeerChannel that checks the connection, used by every caller, and one BROKEN_CALL instead of three copies. An internal error of the log is logged with its traceback.

Test: test_rpc_channel fails before (AttributeError), passes after; tests of rpc and directory pass.

--- a/verbenathread/admin/client.py
+++ b/verbenathread/admin/client.py
@@ -7,7 +7,6 @@
 from typing import Any, NoReturn, TypeVar
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from verbenathread.clock import MS_PER_SECOND, seconds
 from verbenathread.exceptions import (
@@ -18,6 +17,7 @@
     UnknownOutcomeError,
     UsageError,
 )
+from verbenathread.rpc_channel import BROKEN_CALL, PeerChannel
 from verbenathread.schema import control_pb2
 from verbenathread.schema.control_grpc import ControlStub
 from verbenathread.settings.node import parse_address
@@ -31,7 +31,6 @@
 _LONGEST_WAIT: Millis = 8000
 _MEMBER_WAIT: Millis = 35_000
 _PAUSE: Millis = 200
-_BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 _ASK_ANOTHER = frozenset(
     (
         control_pb2.NOT_LEADER,
@@ -212,14 +211,14 @@
         call = getattr(ControlStub(self._channel(address)), method)
         try:
             return await asyncio.wait_for(call(request, timeout=limit), limit)
-        except _BROKEN as error:
+        except BROKEN_CALL as error:
             search.failed(address, error)
         return None
 
     def _channel(self, address: Address) -> Channel:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = Channel(address.host, address.port)
+            channel = PeerChannel(address.host, address.port)
             self._channel_by_address[address] = channel
         return channel
 
--- a/verbenathread/consensus/replica.py
+++ b/verbenathread/consensus/replica.py
@@ -301,9 +301,14 @@
         if self._failure:
             return
         self._failure = str(error) or type(error).__name__
-        if not isinstance(error, (StorageError, OSError)):
+        unexpected = not isinstance(error, (StorageError, OSError))
+        if unexpected:
             self._failure = f'Internal error: {error!r}.'
-        _log.error('This replica stops.', reason=self._failure)
+        _log.error(
+            'This replica stops.',
+            reason=self._failure,
+            exc_info=error if unexpected else None,
+        )
         self._halt()
 
     def _halt(self) -> None:
--- a/verbenathread/consensus/rpc.py
+++ b/verbenathread/consensus/rpc.py
@@ -11,20 +11,19 @@
 
 from grpclib.client import Channel
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from verbenathread.clock import seconds
 from verbenathread.consensus.transport import Handler
 from verbenathread.exceptions import UnavailableError
+from verbenathread.rpc_channel import BROKEN_CALL, PeerChannel
 from verbenathread.schema import consensus_pb2 as messages
 from verbenathread.schema.consensus_grpc import ConsensusBase, ConsensusStub
 from verbenathread.types import Millis, Peer
 
 _CLUSTER = 'x-cluster'
 _NODE_KEY = 'x-node-key'
-# A call that failed in one of these ways may still have been acted on.
-_BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 _Request = TypeVar('_Request')
 _Reply = TypeVar('_Reply')
 
@@ -89,7 +88,7 @@
     def _stub(self, peer: Peer) -> ConsensusStub:
         channel = self._channel_by_peer.get(peer)
         if channel is None:
-            channel = Channel(peer.address.host, peer.address.port)
+            channel = PeerChannel(peer.address.host, peer.address.port)
             self._channel_by_peer[peer] = channel
         return ConsensusStub(channel)
 
@@ -118,7 +117,7 @@
                 ),
                 seconds(limit),
             )
-        except _BROKEN as error:
+        except BROKEN_CALL as error:
             raise _unavailable(peer, error) from error
 
 
--- a/verbenathread/control/node_reports.py
+++ b/verbenathread/control/node_reports.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from verbenathread.control.nodes import NodeTable
+from verbenathread.rpc_channel import BROKEN_CALL, PeerChannel
 from verbenathread.schema import control_pb2
 from verbenathread.schema.control_grpc import ControlStub
 from verbenathread.settings.node import parse_address
@@ -14,7 +14,6 @@
 # Time between two reports to the leader, in ms.
 REPORT_EVERY: Millis = 1000
 _REPORT_LIMIT = 2.0
-_BROKEN = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 
 
 class NodeReporter:
@@ -37,7 +36,7 @@
             self._leader = leader
         if self._channel is None:
             address = parse_address(leader)
-            self._channel = Channel(address.host, address.port)
+            self._channel = PeerChannel(address.host, address.port)
         upstreams = self._upstreams_untold()
         request = control_pb2.NodesReport(
             cluster=self._cluster,
@@ -49,7 +48,7 @@
             await asyncio.wait_for(
                 ControlStub(self._channel).ReportNodes(request), _REPORT_LIMIT
             )
-        except _BROKEN:
+        except BROKEN_CALL:
             return False
         for status in upstreams:
             self._told_by_upstream[status.upstream_id] = status
--- a/verbenathread/directory/daemon.py
+++ b/verbenathread/directory/daemon.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from random import Random
 
-from grpclib.client import Channel
 from grpclib.server import Server
 
 from verbenathread.clock import Clock, SystemClock, seconds
@@ -22,6 +21,7 @@
 from verbenathread.http1.server import Handler, HttpServer, Limits
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.status_handler import StatusHandler
+from verbenathread.rpc_channel import PeerChannel
 from verbenathread.schema import directory_pb2 as messages
 from verbenathread.schema import settings_pb2
 from verbenathread.schema.directory_grpc import DirectoryStub
@@ -225,7 +225,7 @@
             ),
             store_id=self.replica.status().store_id,
         )
-        channel = Channel(address.host, address.port)
+        channel = PeerChannel(address.host, address.port)
         try:
             return await asyncio.wait_for(
                 DirectoryStub(channel).Join(request), seconds(_JOIN_LIMIT)
--- a/verbenathread/entry/peer_channels.py
+++ b/verbenathread/entry/peer_channels.py
@@ -13,6 +13,7 @@
 from verbenathread.entry.ask_stream import AskStream
 from verbenathread.entry.node_access import NodeAccess
 from verbenathread.membership.cell import PeerUnreachableError
+from verbenathread.rpc_channel import PeerChannel
 from verbenathread.schema import peer_grpc, peer_pb2
 from verbenathread.types import Millis, NodeId, Peer
 
@@ -49,7 +50,7 @@
         """Return a stub over the channel, made anew if there is none."""
         if self._channel is None:
             address = self._peer.address
-            self._channel = Channel(address.host, address.port)
+            self._channel = PeerChannel(address.host, address.port)
         return peer_grpc.PeerStub(self._channel)
 
     async def exchange(
--- a/verbenathread/entry/session.py
+++ b/verbenathread/entry/session.py
@@ -14,6 +14,7 @@
 from verbenathread.entry.background import Background
 from verbenathread.entry.shared import SharedTree
 from verbenathread.observability.logs import get_logger
+from verbenathread.rpc_channel import PeerChannel
 from verbenathread.schema import control_grpc, control_pb2
 from verbenathread.types import Address
 
@@ -51,7 +52,7 @@
         _keepalive_permit_without_calls=False,
         _http2_max_pings_without_data=0,
     )
-    return Channel(address.host, address.port, config=config)
+    return PeerChannel(address.host, address.port, config=config)
 
 
 class ControlSession:
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from verbenathread.clock import Clock, seconds
 from verbenathread.directory.machine import worker_of
@@ -14,6 +13,7 @@
 from verbenathread.exceptions import SettingsError
 from verbenathread.gateway.view import View, peer_at
 from verbenathread.observability.logs import get_logger
+from verbenathread.rpc_channel import BROKEN_CALL, PeerChannel
 from verbenathread.schema import directory_pb2 as messages
 from verbenathread.schema.directory_grpc import DirectoryStub
 from verbenathread.serving.types import ServingConfig
@@ -31,13 +31,6 @@
 _ROUND_PAUSE: Millis = 100
 _SLOWER = 4
 _MOST_TIMEOUTS = 5
-_BROKEN = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-)
 
 
 class DirectoryWatch:
@@ -109,10 +102,10 @@
 
     async def _follow(self, address: Address) -> Address | None:
         """Follow one process while it leads; return whom it names."""
-        channel = Channel(address.host, address.port)
+        channel = PeerChannel(address.host, address.port)
         try:
             return await self._read(channel, address)
-        except _BROKEN as error:
+        except BROKEN_CALL as error:
             self.note_silent(address)
             if isinstance(error, TimeoutError):
                 self._timeouts = min(_MOST_TIMEOUTS, self._timeouts + 1)
