--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,55 @@
+"""Play the soak of one seed or of several, and tell what broke."""
+
+import argparse
+import asyncio
+import random
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from tools.soak.play import Size, play
+
+
+def main() -> int:
+    """Soak as the command line asks; 1 if a promise broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, help='drawn when not given')
+    parser.add_argument('--count', type=int, default=1, help='seeds to play')
+    parser.add_argument('--gateways', type=int, default=Size().gateways)
+    parser.add_argument('--callers', type=int, default=Size().callers)
+    parser.add_argument('--series', type=int, default=Size().series)
+    parser.add_argument('--keep', default='.', help='where failed logs go')
+    options = parser.parse_args()
+    first = options.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1 << 30)
+    size = Size(
+        gateways=options.gateways,
+        callers=options.callers,
+        series=options.series,
+    )
+    broken = 0
+    for seed in range(first, first + options.count):
+        if _play_one(seed, size, Path(options.keep)):
+            broken += 1
+    sys.stdout.write(f'{options.count} seeds, {broken} broken\n')
+    return 1 if broken else 0
+
+
+def _play_one(seed: int, size: Size, keep: Path) -> bool:
+    folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    findings = asyncio.run(play(seed, folder, size))
+    sys.stdout.write(f'seed {seed}: {dict(findings.outcomes)}\n')
+    for breach in findings.breaches:
+        sys.stdout.write(f'seed {seed}: {breach}\n')
+    if findings.breaches:
+        kept = keep / f'soak-{seed}'
+        shutil.copytree(folder, kept, dirs_exist_ok=True)
+        sys.stdout.write(f'seed {seed}: logs are in {kept}\n')
+    shutil.rmtree(folder)
+    return bool(findings.breaches)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,273 @@
+"""Callers of the soak, which check each answer that they get."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from tests.gateway_harness import Answer, read_answer
+from tools.soak.findings import NOT_RUN, Findings
+from verbenathread.clock import Clock, seconds
+from verbenathread.types import Address, Millis
+
+KEY = 'k-night'
+HOST = 'desk.example'
+# The routes' time limit, and how much later a final answer may come.
+TIME_LIMIT: Millis = 3000
+_LATEST_ANSWER: Millis = 500
+# What callers say they wait: longer than the routes allow.
+_PATIENCE: Millis = 6000
+_THINK: Millis = 120
+_FAMILY = 100
+_SUCCESS = 2
+_CLIENT_FAULT = 4
+_SERVER_FAULT = 500
+_REDIRECT = 307
+_MOST_CALLS = 3
+_CONTACT: Millis = 3000
+# A request that crosses a close ends within this.
+_LOSS_SLACK: Millis = 200
+# Share of the requests whose callers leave, and after how long.
+_LEAVING_SHARE = 0.03
+_LEAVES_AFTER: Millis = 60
+
+
+class Ask(NamedTuple):
+    """A request of one kind."""
+
+    name: str
+    # Share among all requests.
+    weight: int
+    method: str
+    path: str
+    # Prompt and output tokens; none for a plain service.
+    tokens: str = ''
+    events: int = 0
+
+
+ASKS = (
+    Ask('short', 10, 'POST', '/note/12/', '4000,500', 12),
+    # Larger than one engine's memory.
+    Ask('large', 2, 'POST', '/file/8/', '300000,400', 8),
+    Ask('hold', 6, 'POST', '/hold/'),
+    Ask('check', 5, 'GET', '/check/'),
+)
+
+
+class _Connection(NamedTuple):
+    """A connection to a gateway, kept for as long as it is open."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class Caller:
+    """Sends one request after the other to gateways."""
+
+    def __init__(
+        self,
+        name: str,
+        gateways: list[Address],
+        findings: Findings,
+        clock: Clock,
+    ) -> None:
+        """Ask any of ``gateways``; ``name`` seeds what is asked."""
+        self._name = name
+        self._gateways = gateways
+        self._findings = findings
+        self._clock = clock
+        self._random = random.Random(name)
+        self._numbers = itertools.count(1)
+        self._connection: _Connection | None = None
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        weights = [ask.weight for ask in ASKS]
+        while True:
+            pause = self._random.randint(1, 2 * _THINK)
+            await asyncio.sleep(seconds(pause))
+            ask = self._random.choices(ASKS, weights)[0]
+            leaves = self._random.random() < _LEAVING_SHARE
+            await self.ask(ask, leaves=leaves)
+
+    async def ask(self, ask: Ask, *, leaves: bool = False) -> bool:
+        """Send one request; tell whether it was served."""
+        attempt_id = f'{self._name}-{next(self._numbers)}'
+        sent_at = self._clock.now()
+        answered: Answer | None = None
+        try:
+            answered = await self._exchange(ask, attempt_id, leaves=leaves)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            self.close()
+        took = self._clock.now() - sent_at
+        if answered is None:
+            if not leaves:
+                self._check_lost(attempt_id, sent_at)
+            return False
+        self._check_time(attempt_id, sent_at, took)
+        if not answered.whole:
+            self._check_lost(attempt_id, sent_at)
+        says = answered.header_by_name.get('connection')
+        if says == 'close' or not answered.whole:
+            self.close()
+        return self._check(ask, attempt_id, answered)
+
+    def close(self) -> None:
+        """Use another connection from now on."""
+        if self._connection is not None:
+            self._connection.writer.close()
+            self._connection = None
+
+    async def _exchange(
+        self, ask: Ask, attempt_id: str, *, leaves: bool
+    ) -> Answer | None:
+        if self._connection is None:
+            gateway = self._random.choice(self._gateways)
+            opened = await asyncio.open_connection(*gateway)
+            self._connection = _Connection(*opened)
+        reader, writer = self._connection
+        writer.write(request_bytes(ask, attempt_id))
+        if leaves:
+            await asyncio.sleep(seconds(_LEAVES_AFTER))
+            self.close()
+            return None
+        async with asyncio.timeout(seconds(_PATIENCE)):
+            return await read_answer(reader)
+
+    def _check_lost(self, attempt_id: str, sent_at: Millis) -> None:
+        """Planned work alone must not cost a caller its answer."""
+        self._findings.outcomes['no answer'] += 1
+        now = self._clock.now()
+        crossed = attempt_id not in self._findings.arrived
+        if crossed and now - sent_at < _LOSS_SLACK:
+            # It crossed the close of its connection and was read by nobody.
+            return
+        if self._findings.is_calm(sent_at - _CONTACT, now, but_planned=True):
+            self._findings.breach('LOST', attempt_id)
+
+    def _check_time(
+        self, attempt_id: str, sent_at: Millis, took: Millis
+    ) -> None:
+        if took < TIME_LIMIT:
+            return
+        now = self._clock.now()
+        if self._findings.is_calm(sent_at - _CONTACT, now):
+            late = took > TIME_LIMIT + _LATEST_ANSWER
+            self._findings.timed(late=late)
+
+    def _check(self, ask: Ask, attempt_id: str, answered: Answer) -> bool:
+        family = answered.status // _FAMILY
+        self._findings.outcomes[f'{ask.name} {answered.status}'] += 1
+        if ask.name == 'hold':
+            self._findings.answered(attempt_id, answered.status)
+        if family == _CLIENT_FAULT and answered.status not in NOT_RUN:
+            self._findings.breach('DENIED', f'{attempt_id} {answered.status}')
+        if family != _SUCCESS:
+            return False
+        if not self._is_own(attempt_id, answered):
+            self._findings.breach('MIXED', f'{attempt_id} {answered}')
+        if ask.events:
+            return self._check_events(ask, attempt_id, answered)
+        if answered.body != f'done {attempt_id}'.encode():
+            self._findings.breach('MIXED', f'{attempt_id} {answered.body!r}')
+        return True
+
+    def _is_own(self, attempt_id: str, answered: Answer) -> bool:
+        headers = answered.header_by_name
+        stamp = headers.get('response-stamp')
+        return (
+            headers.get('attempt-id') == attempt_id
+            and stamp == f'stamp-{attempt_id}'
+        )
+
+    def _check_events(
+        self, ask: Ask, attempt_id: str, answered: Answer
+    ) -> bool:
+        got = answered.body.decode().split('\n\n')[:-1]
+        expected = [
+            f'id: {number}\ndata: {attempt_id}-{number}'
+            for number in range(1, ask.events + 1)
+        ]
+        if got != expected[: len(got)]:
+            self._findings.breach('ORDER', f'{attempt_id} {got}')
+        if answered.whole and len(got) != ask.events:
+            self._findings.breach('ORDER', f'{attempt_id} ends at {len(got)}')
+        return answered.whole
+
+
+def request_bytes(ask: Ask, attempt_id: str) -> bytes:
+    """Return a request as a caller sends it."""
+    tokens = f'Token-Usage: {ask.tokens}\r\n' if ask.tokens else ''
+    head = (
+        f'{ask.method} {ask.path}{attempt_id} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Attempt-Id: {attempt_id}\r\nDeadline-Ms: {_PATIENCE}\r\n'
+        f'Authorization: Bearer {KEY}\r\n{tokens}Content-Length: 0\r\n\r\n'
+    )
+    return head.encode()
+
+
+async def ask_once(
+    address: Address,
+    method: str,
+    path: str,
+    content: bytes = b'',
+    limit: float = 1.0,
+) -> Answer | None:
+    """Send one call on a connection of its own; None without an answer."""
+    writer: asyncio.StreamWriter | None = None
+    with contextlib.ExitStack() as stack:
+        try:
+            async with asyncio.timeout(limit):
+                reader, writer = await asyncio.open_connection(*address)
+                stack.callback(writer.close)
+                writer.write(_plain_request(method, path, content))
+                return await read_answer(reader)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return None
+
+
+def _plain_request(method: str, path: str, content: bytes) -> bytes:
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Attempt-Id: probe-{path.strip("/")}\r\n'
+        f'Content-Length: {len(content)}\r\n\r\n'
+    )
+    return head.encode() + content
+
+
+def follow(answered: Answer) -> Address | None:
+    """Return where a redirect leads."""
+    location = answered.header_by_name.get('location', '')
+    parts = location.split('/')
+    if len(parts) < 3:
+        return None
+    host, _, port = parts[2].partition(':')
+    return Address(host, int(port))
+
+
+async def ask_any(
+    addresses: Iterable[Address], method: str, path: str, content: bytes
+) -> Answer | None:
+    """Ask one after the other; None when none can tell."""
+    for address in addresses:
+        answered = await _ask_led(address, method, path, content)
+        if answered is not None and answered.status < _SERVER_FAULT:
+            return answered
+    return None
+
+
+async def _ask_led(
+    address: Address, method: str, path: str, content: bytes
+) -> Answer | None:
+    """Follow redirects from ``address``, twice at most."""
+    there: Address | None = address
+    for _ in range(_MOST_CALLS):
+        if there is None:
+            break
+        answered = await ask_once(there, method, path, content)
+        if answered is None or answered.status != _REDIRECT:
+            return answered
+        there = follow(answered)
+    return None
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,201 @@
+"""What goes wrong in one soak, drawn from its seed."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from tools.soak.findings import Findings
+from tools.soak.fleet import GRACE, Fleet, Node
+from tools.soak.loopback_proxy import Direction
+from tools.soak.staff import Staff
+from verbenathread.clock import Clock, seconds
+from verbenathread.types import Millis
+
+Fault = Callable[[], Awaitable[None]]
+
+_BETWEEN: tuple[Millis, Millis] = (100, 1500)
+_LASTS: tuple[Millis, Millis] = (300, 3000)
+_DELAYS: tuple[Millis, Millis] = (20, 300)
+# A directory process that lost its disk counts as lost for so long after.
+_CATCH_UP: Millis = 6000
+_STOP_SLACK_SECONDS = 2
+_SPOILED_SHARE = 0.3
+# Weights of the faults; a fault on a directory process is as likely as one
+# on a gateway, though there are as many of each.
+_WEIGHTS = (4, 3, 3, 4, 4, 3, 2, 3, 1, 2, 1)
+
+
+class Faults:
+    """Plays faults that overlap, one series after the other."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        staff: Staff,
+        findings: Findings,
+        clock: Clock,
+        seed: int,
+    ) -> None:
+        """Draw everything from ``seed``."""
+        self._fleet = fleet
+        self._staff = staff
+        self._findings = findings
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._disk_lost_at: Millis = -_CATCH_UP
+        self._kinds: tuple[Fault, ...] = (
+            self._kill,
+            self._stop,
+            self._pause,
+            self._cut,
+            self._delay,
+            self._reset,
+            self._silence,
+            self._fail_worker,
+            self._lose_disk,
+            self._crash_worker,
+            self._kill_all,
+        )
+
+    async def series(self, length: Millis) -> None:
+        """Begin faults for ``length`` ms and wait until all have ended."""
+        until = self._clock.now() + length
+        while self._clock.now() < until:
+            fault = self._random.choices(self._kinds, _WEIGHTS)[0]
+            task = asyncio.create_task(self._play(fault))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            pause = self._random.randint(*_BETWEEN)
+            await asyncio.sleep(seconds(pause))
+        await asyncio.gather(*self._tasks)
+
+    async def plan(self) -> None:
+        """Do planned work only: stops, a leave, other seeds."""
+        node = self._random.choice(self._fleet.gateways)
+        await asyncio.gather(
+            self._terminate(node), self._staff.replace(self._random)
+        )
+        self._fleet.move_seeds(self._random.randrange(3))
+
+    async def _play(self, fault: Fault) -> None:
+        harm_id = self._findings.begin(fault.__name__)
+        await fault()
+        self._findings.end(harm_id)
+
+    def _node(self) -> Node | None:
+        """Return a node that no other fault has in hand."""
+        free = [node for node in self._fleet.nodes if not node.is_taken]
+        return self._random.choice(free) if free else None
+
+    async def _last(self) -> None:
+        await asyncio.sleep(seconds(self._random.randint(*_LASTS)))
+
+    async def _kill(self) -> None:
+        node = self._node()
+        if node is None:
+            return
+        node.is_taken = True
+        self._fleet.kill(node)
+        if node.program == 'directory' and self._random.choice((True, False)):
+            self._fleet.tear(node)
+        await self._last()
+        self._restart(node)
+
+    async def _stop(self) -> None:
+        node = self._node()
+        if node is not None:
+            await self._terminate(node)
+
+    async def _terminate(self, node: Node) -> None:
+        """Stop a node as the platform does, and start it again."""
+        if node.is_taken:
+            return
+        node.is_taken = True
+        harm_id = self._findings.begin(node.name, planned=True)
+        started = self._fleet.process(node)
+        started.send(signal.SIGTERM)
+        limit = seconds(GRACE) + _STOP_SLACK_SECONDS
+        code = await asyncio.to_thread(started.wait, limit)
+        if code is None:
+            self._findings.breach('STOP', f'{node.name} did not end')
+            self._fleet.kill(node)
+        self._restart(node)
+        self._findings.end(harm_id)
+
+    async def _pause(self) -> None:
+        node = self._node()
+        if node is None:
+            return
+        node.is_taken = True
+        started = self._fleet.process(node)
+        started.send(signal.SIGSTOP)
+        await self._last()
+        started.send(signal.SIGCONT)
+        node.is_taken = False
+
+    async def _cut(self) -> None:
+        node = self._random.choice(self._fleet.nodes)
+        both = tuple(Direction)
+        ways = self._random.choice((both, both[:1], both[1:]))
+        for proxy in node.proxies:
+            proxy.hold(*ways)
+        await self._last()
+        for proxy in node.proxies:
+            proxy.let_through()
+
+    async def _delay(self) -> None:
+        node = self._random.choice(self._fleet.nodes)
+        for proxy in node.proxies:
+            proxy.delay = self._random.randint(*_DELAYS)
+        await self._last()
+        for proxy in node.proxies:
+            proxy.delay = 0
+
+    async def _reset(self) -> None:
+        node = self._random.choice(self._fleet.nodes)
+        for proxy in node.proxies:
+            proxy.reset()
+
+    async def _silence(self) -> None:
+        """Let open connections of a node or a worker say nothing more."""
+        proxies = list(self._staff.proxies)
+        for node in self._fleet.nodes:
+            proxies.extend(node.proxies)
+        self._random.choice(proxies).silence()
+
+    async def _fail_worker(self) -> None:
+        worker = self._random.choice(self._staff.workers)
+        worker.fault_share = _SPOILED_SHARE
+        await self._last()
+        worker.fault_share = 0
+
+    async def _crash_worker(self) -> None:
+        await self._staff.crash(self._random)
+
+    async def _lose_disk(self) -> None:
+        """Take the disk of one directory process; one may be lost at once."""
+        now = self._clock.now()
+        taken = any(node.is_taken for node in self._fleet.directories)
+        if taken or now < self._disk_lost_at + _CATCH_UP:
+            return
+        node = self._random.choice(self._fleet.directories)
+        node.is_taken = True
+        self._fleet.kill(node)
+        self._fleet.wipe(node)
+        await self._last()
+        self._restart(node)
+        self._disk_lost_at = self._clock.now()
+
+    async def _kill_all(self) -> None:
+        nodes = [node for node in self._fleet.nodes if not node.is_taken]
+        for node in nodes:
+            node.is_taken = True
+            self._fleet.kill(node)
+        for node in nodes:
+            self._restart(node)
+
+    def _restart(self, node: Node) -> None:
+        self._fleet.start_node(node)
+        node.is_taken = False
--- /dev/null
+++ b/tools/soak/fleet.py
@@ -0,0 +1,202 @@
+"""The real programs of one soak, each behind a loopback proxy."""
+
+import os
+import shutil
+import signal
+from pathlib import Path
+
+from tools.local_cluster import LOOPBACK_NET
+from tools.processes import Processes, Started
+from tools.soak.findings import Findings
+from tools.soak.loopback_proxy import LoopbackProxy
+from verbenathread.types import Address, Millis
+
+OPERATOR_PORT = 18060
+PEER_PORT = 18061
+CALLER_PORT = 18070
+READY_PORT = 18071
+NOTICE_PORT = 18072
+# Last number of the real address; the proxy's is by so many higher.
+_FIRST_DIRECTORY = 10
+_FIRST_GATEWAY = 40
+_PROXY_OFFSET = 100
+# How long a planned stop may last.
+GRACE: Millis = 8000
+WORKER_HEARTBEAT: Millis = 400
+_KILL_WAIT_SECONDS = 10
+_TORN_BYTES = 9
+
+_NODE = """
+[node]
+id = {name}
+data_centre = a
+cluster = soak
+node_key = secret
+"""
+_DIRECTORY = """
+[directory]
+listen = {ip}:{operator_port}
+peer_listen = {ip}:{peer_port}
+peer_advertise = {proxy_ip}:{peer_port}
+seeds = {seeds}
+directory_port = {peer_port}
+data_folder = {name}-data
+bootstrap = {bootstrap}
+losses = 1
+worker_heartbeat = {heartbeat}
+"""
+_GATEWAY = """
+[gateway]
+listen = {ip}:{caller_port}
+ready_listen = {ip}:{ready_port}
+peer_listen = {ip}:{notice_port}
+seeds = {seeds}
+directory_port = {peer_port}
+stop_limit = {grace}
+"""
+
+
+class Node:
+    """One process of the fleet and its proxies."""
+
+    def __init__(self, program: str, number: int) -> None:
+        """Name the node and its addresses."""
+        self.program = program
+        self.name = f'{program}-{number}'
+        first = _FIRST_GATEWAY
+        ports: tuple[int, ...] = (CALLER_PORT,)
+        if program == 'directory':
+            first = _FIRST_DIRECTORY
+            ports = (OPERATOR_PORT, PEER_PORT)
+        self.ip = f'{LOOPBACK_NET}.{first + number}'
+        self.proxy_ip = f'{LOOPBACK_NET}.{first + number + _PROXY_OFFSET}'
+        self.proxies = [
+            LoopbackProxy(Address(self.proxy_ip, port), Address(self.ip, port))
+            for port in ports
+        ]
+        # Counts the lives of the process.
+        self.life = 0
+        # A fault has the process in hand; others leave it alone.
+        self.is_taken = False
+
+    @property
+    def address(self) -> Address:
+        """Return where callers or operators reach it."""
+        return self.proxies[0].listen
+
+
+class Fleet:
+    """Directory processes and gateways."""
+
+    def __init__(
+        self,
+        processes: Processes,
+        directories: int,
+        gateways: int,
+        findings: Findings,
+    ) -> None:
+        """Write the settings of every node."""
+        self._processes = processes
+        self.findings = findings
+        self.directories = [Node('directory', n) for n in range(directories)]
+        self.gateways = [Node('gateway', n) for n in range(gateways)]
+        self._seeds = [node.proxy_ip for node in self.directories]
+        for node in self.nodes:
+            self.write(node, bootstrap=True)
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Return all nodes."""
+        return [*self.directories, *self.gateways]
+
+    async def start(self) -> None:
+        """Start the proxies, then every process."""
+        for node in self.nodes:
+            for proxy in node.proxies:
+                await proxy.start()
+            self.start_node(node)
+
+    async def stop(self) -> None:
+        """End every process and proxy."""
+        self._processes.kill_all()
+        for node in self.nodes:
+            for proxy in node.proxies:
+                await proxy.stop()
+
+    def start_node(self, node: Node) -> None:
+        """Start the process of a node that has none."""
+        node.life += 1
+        words = ('verbenathread', node.program, '--settings')
+        self._processes.start(node.name, *words, f'{node.name}.ini')
+
+    def process(self, node: Node) -> Started:
+        """Return the process of a node."""
+        return self._processes.by_name[node.name]
+
+    def kill(self, node: Node) -> None:
+        """Kill a process and wait for its end."""
+        started = self.process(node)
+        started.send(signal.SIGKILL)
+        started.wait(_KILL_WAIT_SECONDS)
+        self.write(node, bootstrap=False)
+
+    def wipe(self, node: Node) -> None:
+        """Take the disk of a killed directory process."""
+        shutil.rmtree(self._data(node), ignore_errors=True)
+
+    def tear(self, node: Node) -> None:
+        """Leave bytes of a write that never ended at the log's end."""
+        segments = sorted(self._data(node).glob('segment-*'))
+        if segments:
+            with segments[-1].open('ab') as segment:
+                segment.write(os.urandom(_TORN_BYTES))
+
+    def move_seeds(self, first: int) -> None:
+        """Name other seeds in every settings file, and signal half of them."""
+        count = len(self.directories)
+        chosen = [self.directories[(first + n) % count] for n in range(2)]
+        self._seeds = [node.proxy_ip for node in chosen]
+        for number, node in enumerate(self.nodes):
+            self.write(node, bootstrap=False)
+            if number % 2:
+                self.process(node).send(signal.SIGHUP)
+
+    def write(self, node: Node, *, bootstrap: bool) -> None:
+        """Write the settings file of a node."""
+        template = _DIRECTORY if node.program == 'directory' else _GATEWAY
+        text = (_NODE + template).format(
+            name=node.name,
+            ip=node.ip,
+            proxy_ip=node.proxy_ip,
+            seeds=','.join(f'{ip}:{OPERATOR_PORT}' for ip in self._seeds),
+            operator_port=OPERATOR_PORT,
+            peer_port=PEER_PORT,
+            caller_port=CALLER_PORT,
+            ready_port=READY_PORT,
+            notice_port=NOTICE_PORT,
+            bootstrap='yes' if bootstrap else 'no',
+            heartbeat=WORKER_HEARTBEAT,
+            grace=GRACE,
+        )
+        path = self._processes.folder / f'{node.name}.ini'
+        path.write_text(text)
+
+    def check_running(self) -> None:
+        """Note processes that ended by themselves."""
+        for node in self.nodes:
+            code = self.process(node).process.poll()
+            if code is not None and not node.is_taken:
+                self.findings.breach('ENDED', f'{node.name} code {code}')
+                self.start_node(node)
+
+    def check_logs(self) -> None:
+        """Note tracebacks: nothing may end by an unexpected error."""
+        for node in self.nodes:
+            log = self._processes.folder / f'{node.name}.log'
+            for line in log.read_text().splitlines():
+                if not line.startswith('{') or 'unexpected' in line:
+                    self.findings.breach('LOG', f'{node.name}: {line}')
+                    break
+
+    def _data(self, node: Node) -> Path:
+        return self._processes.folder / f'{node.name}-data'
--- /dev/null
+++ b/tools/soak/operator.py
@@ -0,0 +1,216 @@
+"""The operator of the soak, and the prober that sees what is in force."""
+
+import asyncio
+import json
+import random
+from types import MappingProxyType
+from typing import Any
+
+from tools.soak.callers import (
+    HOST,
+    KEY,
+    TIME_LIMIT,
+    ask_any,
+    ask_once,
+)
+from tools.soak.findings import Findings
+from tools.soak.fleet import Fleet, Node
+from tools.soak.workers import (
+    ACCOUNT,
+    ENGINE_SERVICE,
+    LEDGER_SERVICE,
+    MEMORY_TOKENS,
+)
+from verbenathread.clock import Clock, seconds
+from verbenathread.types import Address, Millis
+
+# A change is in force everywhere within this of its acknowledgement.
+_APPLY_LIMIT: Millis = 2000
+_CONTACT: Millis = 3000
+_BETWEEN_CHANGES = (300, 2500)
+_RESEND: Millis = 200
+_MOST_STEP = 9
+_SERVED = 200
+_NOT_FOUND = 404
+_BAD_REQUEST = 400
+_READS = 10
+_NONSENSE_SHARE = 0.2
+
+# Of a route for prompts that several engines read.
+_LONG = MappingProxyType(
+    {
+        'resumable': True,
+        'target-latency-ms': 3000,
+        'target-gap-ms': 1000,
+    }
+)
+_ENGINE = MappingProxyType(
+    {
+        'slots': 8,
+        'kv-capacity-tokens': MEMORY_TOKENS,
+        'stride': 43,
+        'step_ms': 1.02,
+        'per_seq_ms': 0.00452,
+        'context_per_k': 0.00431,
+        'read_per_s': 206_000.0,
+        'pairs_per_m': 0.138,
+    }
+)
+
+
+def config_body(version: int) -> bytes:
+    """Return a configuration; one route stands in this version only."""
+    marker = _route(f'v{version}', 'idempotent', LEDGER_SERVICE)
+    routes = [
+        _route('note', 'streaming', ENGINE_SERVICE, resumable=True),
+        _route('file', 'streaming', ENGINE_SERVICE, **_LONG),
+        _route('hold', 'non_idempotent', LEDGER_SERVICE, attempts=1),
+        _route('check', 'idempotent', LEDGER_SERVICE),
+        marker | {'public': True},
+    ]
+    services = [
+        {'name': ENGINE_SERVICE, 'engine': dict(_ENGINE)},
+        {'name': LEDGER_SERVICE},
+    ]
+    accounts = [{'name': ACCOUNT, 'api-keys': [KEY], 'priority': 1}]
+    return json.dumps(
+        {
+            'version': version,
+            'routes': routes,
+            'services': services,
+            'tenants': accounts,
+        }
+    ).encode()
+
+
+def _route(
+    name: str, kind: str, service: str, **changes: Any
+) -> dict[str, Any]:
+    usual = {
+        'name': name,
+        'host': HOST,
+        'path-prefix': f'/{name}/',
+        'kind': kind,
+        'service': service,
+        'timeout-ms': TIME_LIMIT,
+        'target-latency-ms': 300,
+        'target-gap-ms': 250,
+        'attempts': 2,
+        'priority': 1,
+    }
+    return usual | changes
+
+
+class Operator:
+    """Changes the configuration and watches what gateways make of it."""
+
+    def __init__(
+        self, fleet: Fleet, findings: Findings, clock: Clock, seed: int
+    ) -> None:
+        """Change nothing before :meth:`run`."""
+        self._fleet = fleet
+        self._findings = findings
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._sent = 0
+        # The newest version that was acknowledged, and when.
+        self.acked = 0
+        self._acked_at: Millis = 0
+        # The highest version that served a probe, by node and life.
+        self._seen_by_life: dict[tuple[str, int], int] = {}
+
+    async def run(self) -> None:
+        """Make one change after the other."""
+        while True:
+            await self.change()
+            pause = self._random.randint(*_BETWEEN_CHANGES)
+            await asyncio.sleep(seconds(pause))
+
+    async def change(self) -> None:
+        """Send a change again and again until it is acknowledged."""
+        self._sent += self._random.randint(1, _MOST_STEP)
+        version = self._sent
+        while await self._put(config_body(version)) != _SERVED:
+            await asyncio.sleep(seconds(_RESEND))
+        self.acked = version
+        self._acked_at = self._clock.now()
+        if self._random.random() < _NONSENSE_SHARE:
+            await self._send_nonsense(version)
+
+    async def probe(self) -> None:
+        """Ask gateways which versions are in force, again and again."""
+        while True:
+            node = self._random.choice(self._fleet.gateways)
+            await self._probe_older(node)
+            await self._probe_newest(node)
+            await asyncio.sleep(seconds(_RESEND))
+
+    async def read_back(self) -> None:
+        """Check that the newest acknowledged change is still there."""
+        for _ in range(_READS):
+            answered = await ask_any(
+                self._addresses(), 'GET', '/Config.Get', b''
+            )
+            if answered is not None:
+                break
+            await asyncio.sleep(seconds(_APPLY_LIMIT // 2))
+        if answered is None:
+            self._findings.breach('CONFIG', 'it can not be read back')
+            return
+        version = json.loads(answered.body)['version']
+        if version < self.acked or answered.body != config_body(version):
+            self._findings.breach(
+                'CONFIG', f'{version} is read back, {self.acked} was accepted'
+            )
+
+    async def _put(self, content: bytes) -> int:
+        answered = await ask_any(
+            self._addresses(), 'POST', '/Config.Put', content
+        )
+        return 0 if answered is None else answered.status
+
+    async def _send_nonsense(self, version: int) -> None:
+        """Send what must change nothing: invalid, and another content."""
+        status = await self._put(config_body(version + 1)[:-9])
+        if status == _SERVED:
+            self._findings.breach('CONFIG', 'an invalid one is acknowledged')
+        other = json.loads(config_body(version))
+        other['routes'] = other['routes'][:2]
+        await self._put(json.dumps(other).encode())
+
+    def _addresses(self) -> list[Address]:
+        addresses = [node.address for node in self._fleet.directories]
+        self._random.shuffle(addresses)
+        return addresses
+
+    async def _probe_newest(self, node: Node) -> None:
+        wanted = self.acked
+        asked_at = self._clock.now()
+        is_due = asked_at > self._acked_at + _APPLY_LIMIT
+        life = (node.name, node.life)
+        status = await self._ask_marker(node, wanted)
+        if status == _SERVED:
+            seen = self._seen_by_life.get(life, 0)
+            self._seen_by_life[life] = max(seen, wanted)
+            return
+        calm = self._findings.is_calm(
+            self._acked_at - _CONTACT, self._clock.now()
+        )
+        if status == _NOT_FOUND and is_due and calm and self._sent == wanted:
+            self._findings.breach('CONFIG', f'{node.name} lacks {wanted}')
+
+    async def _probe_older(self, node: Node) -> None:
+        life = (node.name, node.life)
+        seen = self._seen_by_life.get(life, 0)
+        if seen < 2:
+            return
+        older = self._random.randint(max(1, seen - _MOST_STEP), seen - 1)
+        status = await self._ask_marker(node, older)
+        if status == _SERVED:
+            self._findings.breach(
+                'CONFIG', f'{node.name} served {older} after {seen}'
+            )
+
+    async def _ask_marker(self, node: Node, version: int) -> int:
+        answered = await ask_once(node.address, 'GET', f'/v{version}/')
+        return 0 if answered is None else answered.status
--- /dev/null
+++ b/tools/soak/staff.py
@@ -0,0 +1,133 @@
+"""The workers of one soak: they announce themselves, leave and crash."""
+
+import asyncio
+import itertools
+import json
+import random
+
+from tools.local_cluster import LOOPBACK_NET
+from tools.soak.callers import ask_any
+from tools.soak.findings import Findings
+from tools.soak.fleet import WORKER_HEARTBEAT, Fleet
+from tools.soak.loopback_proxy import LoopbackProxy
+from tools.soak.workers import ENGINE_SERVICE, LEDGER_SERVICE, SoakWorker
+from verbenathread.clock import Clock, seconds
+from verbenathread.types import Address, Millis
+
+_FIRST_WORKER = 170
+_WORKER_PORT = 18080
+_SLOTS = 8
+_LEDGERS = 2
+_OK = 200
+# A worker serves on for this long after its leave was acknowledged.
+_SERVES_ON: Millis = 3500
+_NOBODY = Address('127.0.0.1', 9)
+
+
+class Staff:
+    """Engines and ledgers behind their proxies."""
+
+    def __init__(
+        self, fleet: Fleet, findings: Findings, clock: Clock, engines: int
+    ) -> None:
+        """Have ``engines`` engines and two ledgers."""
+        self._fleet = fleet
+        self._findings = findings
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._services = [
+            *(ENGINE_SERVICE for _ in range(engines)),
+            *(LEDGER_SERVICE for _ in range(_LEDGERS)),
+        ]
+        self.proxies = [
+            LoopbackProxy(
+                Address(f'{LOOPBACK_NET}.{_FIRST_WORKER + n}', _WORKER_PORT),
+                _NOBODY,
+            )
+            for n in range(len(self._services))
+        ]
+        self.workers: list[SoakWorker] = []
+
+    async def start(self) -> None:
+        """Start a worker at each address."""
+        for service, proxy in zip(self._services, self.proxies, strict=True):
+            await proxy.start()
+            worker = await self._hire(service, proxy)
+            self.workers.append(worker)
+
+    async def stop(self) -> None:
+        """End every worker and proxy."""
+        for worker, proxy in zip(self.workers, self.proxies, strict=True):
+            await worker.crash()
+            await proxy.stop()
+
+    async def beat(self) -> None:
+        """Let each worker say that it lives, again and again."""
+        while True:
+            await asyncio.gather(*(self._say(one) for one in self.workers))
+            await asyncio.sleep(seconds(WORKER_HEARTBEAT))
+
+    async def crash(self, chance: random.Random) -> None:
+        """Crash a worker; another one starts at its address."""
+        await self._replace_at(chance.randrange(len(self.workers)))
+
+    async def replace(self, chance: random.Random) -> None:
+        """Drain a worker, wait, and let another one take its address."""
+        number = chance.randrange(len(self.workers))
+        worker = self.workers[number]
+        harm_id = self._findings.begin(worker.worker_id, planned=True)
+        worker.is_draining = True
+        while not await self._say(worker):
+            await asyncio.sleep(seconds(WORKER_HEARTBEAT))
+        self._findings.end(harm_id)
+        worker.drained_at = self._clock.now()
+        await asyncio.sleep(seconds(_SERVES_ON))
+        await self._tell(worker, 'Deregister', {'born': worker.born})
+        if self.workers[number] is worker:
+            await self._replace_at(number)
+
+    async def _replace_at(self, number: int) -> None:
+        """End the worker at one address and start another."""
+        worker = self.workers[number]
+        await worker.crash()
+        self.workers[number] = await self._hire(
+            worker.service, self.proxies[number]
+        )
+
+    async def _hire(self, service: str, proxy: LoopbackProxy) -> SoakWorker:
+        worker_id = f'i-{next(self._numbers)}'
+        worker = SoakWorker(
+            service, worker_id, proxy, self._findings, self._clock
+        )
+        await worker.start()
+        for other in (*self.workers, worker):
+            other.peer_by_address[str(worker.address)] = worker
+            worker.peer_by_address[str(other.address)] = other
+        return worker
+
+    async def _say(self, worker: SoakWorker) -> bool:
+        worker.sequence += 1
+        said = {
+            'service': worker.service,
+            'address': str(worker.address),
+            'zone': 'a',
+            'version': 'v1',
+            'slots': _SLOTS,
+            'state': 'draining' if worker.is_draining else 'ready',
+            'sequence': worker.sequence,
+            'born': worker.born,
+        }
+        return await self._tell(worker, 'Heartbeat', said)
+
+    async def _tell(
+        self, worker: SoakWorker, call: str, said: dict[str, object]
+    ) -> bool:
+        addresses = [node.address for node in self._fleet.directories]
+        random.shuffle(addresses)
+        answered = await ask_any(
+            addresses,
+            'POST',
+            f'/Instances.{call}/{worker.worker_id}',
+            json.dumps(said).encode(),
+        )
+        return answered is not None and answered.status == _OK
