Let a reload that comes while a daemon starts end nothing

Cause: until a gateway or directory process has installed its handler, some 0.3 s of imports after its start, SIGHUP ended it (exit by signal 1). Now the signal is ignored from the first line of the program; the settings are read after that anyway. Some 20 ms of the interpreter's own start are left, which no program can cover.

Test: test_a_reload_while_it_starts_ends_nothing fails before, passes after.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,6 +1,7 @@
 """The programs of the platform as processes, under signals."""
 
 import asyncio
+import functools
 import json
 import signal
 import tempfile
@@ -50,6 +51,12 @@
 """
 
 
+async def hangup_is_ignored(started):
+    status = Path(f'/proc/{started.process.pid}/status').read_text()
+    mask = status.partition('SigIgn:')[2].split()[0]
+    return bool(int(mask, 16) & 1 << signal.SIGHUP - 1)
+
+
 async def slow_stream(seen, writer):
     """Write an event each 0.2 s, for 1.2 s."""
     writer.write(stream_head(seen))
@@ -194,6 +201,20 @@
         metrics = await call(DIRECTORY_IP, 18063, 'GET', '/metrics')
         return b'verbenathread_directory_leads 1.0' in metrics.body
 
+    async def test_a_reload_while_it_starts_ends_nothing(self):
+        for name in ('gateway', 'directory'):
+            with self.subTest(name):
+                started = self.processes.by_name[name]
+                started.send(signal.SIGKILL)
+                started.wait(5)
+                started = self.start(name)
+                ignored = functools.partial(hangup_is_ignored, started)
+                await self.until(ignored, 1)
+                started.send(signal.SIGHUP)
+                await asyncio.sleep(0.5)
+                self.assertIsNone(started.wait(0))
+        await self.until(self.serves)
+
     async def test_seeds_are_read_again(self):
         changed = GATEWAY.replace(
             f'seeds = {DIRECTORY_IP}', f'seeds = {LOOPBACK_NET}.242'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,8 @@
     # Resets met connections that were just opening: the log of each directory
     # process took grpclib's AttributeError for its own and stopped.
     1,
+    # A gateway that was just starting ended by the SIGHUP of other seeds.
+    400,
 )
 STAMP = MappingProxyType({'attempt-id': 'c-1', 'response-stamp': 'stamp-c-1'})
 EVENT = b'id: %d\ndata: c-1-%d\n\n'
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -52,7 +52,7 @@
             '--site-packages',
             str(site),
             '--entry-point',
-            'verbenathread.cmdline:main',
+            'verbenathread.__main__:main',
             '--python',
             _INTERPRETER,
             '--output-file',
--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -25,6 +25,7 @@
 # Memory is free this long after the last request that used it.
 _FREE: Millis = 4000
 _LOOK_EVERY: Millis = 200
+_LEAVE: Millis = 500
 # A soak takes about a minute; one that takes longer hangs.
 _LONGEST: Millis = 150_000
 
@@ -93,6 +94,8 @@
     async def _finish(self) -> None:
         await asyncio.sleep(seconds(_CALM))
         await self._cancel(keep=1)
+        # Gateways notice within this that the callers left.
+        await asyncio.sleep(seconds(_LEAVE))
         await self._check_served()
         await self._operator.read_back()
         await asyncio.sleep(seconds(_FREE))
