Hold a gateway until a leader is elected, and ask processes in turn

Each directory process without a leader sent gateways away at once, so all kept asking around, with a new connection each time, while the voters' small VMs started and voted. Now the asked process holds them until it knows a leader, 400 ms at most, and gateways begin at different processes.

Ruled out: the election itself (0.15 s after the last voter listens); the start of gateways (0.4 s before the directory's).

Test: test_a_gateway_is_held_until_one_leads fails before, passes after.

--- a/tests/test_directory_cluster.py
+++ b/tests/test_directory_cluster.py
@@ -18,6 +18,9 @@
 from verbenathread.gateway.watch import DirectoryWatch
 from verbenathread.platform.bodies import decode_config
 from verbenathread.platform.calls import DirectoryHttp
+from verbenathread.rpc_channel import PeerChannel
+from verbenathread.schema.directory_grpc import DirectoryStub
+from verbenathread.schema.directory_pb2 import WatchRequest
 from verbenathread.settings.node import load_node_settings
 from verbenathread.types import Address, Peer
 
@@ -283,6 +286,26 @@
         self.watcher.note_silent(Address(host, PEER_PORT))
         await self.until(lambda: view.config_version == 1, limit=3)
 
+    async def test_a_gateway_is_held_until_one_leads(self):
+        await self.start(1, bootstrap=True)
+        asked = asyncio.create_task(self.first_update(1))
+        await asyncio.sleep(0.1)
+        self.assertFalse(asked.done())
+        for number in (2, 3):
+            await self.start(number, bootstrap=True)
+        update = await asked
+        # One round trip later it knows where the leader is.
+        self.assertTrue(update.leads or update.HasField('leader'))
+
+    async def first_update(self, number):
+        channel = PeerChannel(self.host(number), PEER_PORT)
+        async with DirectoryStub(channel).Watch.open() as stream:
+            await stream.send_message(WatchRequest(), end=True)
+            update = await stream.recv_message()
+            await stream.cancel()
+        channel.close()
+        return update
+
     async def test_what_was_acknowledged_outlives_a_lost_disk(self):
         await self.start_all()
         await self.put(body(5))
--- a/verbenathread/consensus/replica.py
+++ b/verbenathread/consensus/replica.py
@@ -173,6 +173,13 @@
             self._require_running()
         return applier.applied_index
 
+    async def wait_leader(self, limit: Millis) -> None:
+        """Return once a leader is known here, or after ``limit`` ms."""
+        state = self._state
+        await state.changed.until(
+            lambda: bool(state.leader_id) or not self._running, limit
+        )
+
     def status(self) -> ReplicaStatus:
         """Return what this replica knows; it may be stale."""
         state = self._state
--- a/verbenathread/directory/service.py
+++ b/verbenathread/directory/service.py
@@ -28,6 +28,10 @@
 # newest counts alone, and each is parsed by every gateway.
 _CONFIG_PAUSE: Millis = 200
 _BARRIER_LIMIT: Millis = 1000
+# How long a gateway is kept waiting for an election. One that was sent away
+# would ask around all the while, at the cost of the voters' processors; it
+# takes a process for silent after 600 ms.
+_ELECTION_LIMIT: Millis = 400
 
 
 class _Sent(NamedTuple):
@@ -88,6 +92,7 @@
         request = await stream.recv_message()
         if request is None:
             return
+        await self._replica.wait_leader(_ELECTION_LIMIT)
         try:
             await self._replica.barrier(_BARRIER_LIMIT)
         except UnavailableError:
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -93,9 +93,11 @@
             known[peer.address] = None
         for address in self._seeds.addresses:
             known[address] = None
+        # Gateways that look at the same time begin with different processes.
+        ordered = self._random.sample(list(known), len(known))
         # Whoever fell silent is asked again after all others, unless one of
         # them names it as the leader.
-        ordered = sorted(known, key=self._silent.__contains__)
+        ordered.sort(key=self._silent.__contains__)
         if hint is not None:
             ordered = [hint, *(one for one in ordered if one != hint)]
         return ordered
