Tell gateways of sends that a new leader does not list yet

A new leader lists only the gateways that have come to it so far, and each gateway told just those of its sends. Now a gateway is told for 5 s after it was listed last; its share of repeats counts by the same list.

Ruled out: slow engines (pace 1.0 in all 53 sends), long prompts beside them (pauses of 60 to 160 ms), forecasts (right wherever the view was).

Test: test_gateway_view (take_nodes is new; before, the list was replaced).

--- /dev/null
+++ b/tests/test_gateway_view.py
@@ -0,0 +1,38 @@
+"""Which gateways hear of sends while leaders change."""
+
+import unittest
+
+from verbenathread.gateway.view import View
+from verbenathread.types import Address, Peer
+
+GATEWAYS = tuple(
+    Peer(f'g{number}', Address('127.0.0.1', 9000 + number))
+    for number in range(4)
+)
+
+
+class ToldTest(unittest.TestCase):
+    def setUp(self):
+        self.view = View('g0')
+
+    def list_at(self, now, *numbers):
+        listed = tuple(GATEWAYS[number] for number in numbers)
+        self.view.take_nodes((), listed, now)
+
+    def told(self):
+        return {peer.node_id for peer in self.view.told}
+
+    def test_a_new_leader_knows_few_gateways_at_first(self):
+        self.list_at(0, 0, 1, 2, 3)
+        # 60 s later another one leads; the list of before held until then.
+        self.list_at(60_000, 0, 1)
+        self.assertEqual(self.told(), {'g0', 'g1', 'g2', 'g3'})
+        self.list_at(61_000, 0, 1, 2)
+        self.view.forget_unlisted(65_500)
+        self.assertEqual(self.told(), {'g0', 'g1', 'g2'})
+        self.assertEqual(len(self.view.gateways), 3)
+
+    def test_a_gateway_that_stays_is_never_forgotten(self):
+        self.list_at(0, 0, 1)
+        self.view.forget_unlisted(900_000)
+        self.assertEqual(self.told(), {'g0', 'g1'})
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -113,7 +113,7 @@
         parts = self.parts
         parts.pool.keep_only(worker_ids)
         parts.fleet.keep_only(worker_ids)
-        parts.budget.gateways = max(1, len(self.view.gateways))
+        parts.budget.gateways = max(1, len(self.view.told))
         parts.measures.workers.set(len(worker_ids))
         parts.room.look_again()
 
@@ -124,4 +124,5 @@
             self.parts.pool.sweep()
             self.parts.fleet.forget_ended(self._clock.now())
             self.parts.measures.waiting.set(len(self.parts.room))
-            self.parts.budget.gateways = max(1, len(self.view.gateways))
+            self.view.forget_unlisted(self._clock.now())
+            self.parts.budget.gateways = max(1, len(self.view.told))
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -160,6 +160,6 @@
         if self._transport is None:
             return
         content = notice.SerializeToString()
-        for peer in self._view.gateways:
+        for peer in self._view.told:
             if peer.node_id != self._me.node_id:
                 self._transport.sendto(content, tuple(peer.address))
--- a/verbenathread/gateway/view.py
+++ b/verbenathread/gateway/view.py
@@ -12,6 +12,9 @@
 
 # What was sent before a gateway heard of the others ends within about this.
 _BLIND_FOR: Millis = 2500
+# A gateway that is listed no more is told of sends for so much longer: after
+# a change of leaders the list fills up again within about 2 s.
+_TOLD_FOR: Millis = 5000
 
 _ConfigListener = Callable[[ServingConfig], None]
 _WorkersListener = Callable[[frozenset[str]], None]
@@ -26,6 +29,9 @@
         self.table: RouteTable | None = None
         self.directory: tuple[Peer, ...] = ()
         self.gateways: tuple[Peer, ...] = ()
+        # The gateways that are told of sends: those listed, now or recently.
+        self.told: tuple[Peer, ...] = ()
+        self._listed_at_by_peer: dict[Peer, Millis] = {}
         # True while a leader that a quorum follows feeds this view.
         self.is_fresh = False
         # Monotonic times at which it was fed first and last.
@@ -79,6 +85,29 @@
         for notify in self.on_workers:
             notify(known)
 
+    def take_nodes(
+        self,
+        directory: tuple[Peer, ...],
+        gateways: tuple[Peer, ...],
+        now: Millis,
+    ) -> None:
+        """Take the directory processes and gateways that a leader lists.
+
+        A new leader lists only the gateways that have come to it so far.
+        """
+        for peer in (*self.gateways, *gateways):
+            self._listed_at_by_peer[peer] = now
+        self.directory = directory
+        self.gateways = gateways
+        self.forget_unlisted(now)
+
+    def forget_unlisted(self, now: Millis) -> None:
+        """Tell gateways no more that were not listed for long."""
+        for peer, listed_at in tuple(self._listed_at_by_peer.items()):
+            if peer not in self.gateways and now - listed_at > _TOLD_FOR:
+                self._listed_at_by_peer.pop(peer)
+        self.told = tuple(self._listed_at_by_peer)
+
     def misplaced(self, worker: Worker) -> None:
         """Note that another worker answers at this one's address."""
         _log.warning('Another worker answers.', worker=worker.worker_id)
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -157,8 +157,11 @@
                 worker_of(entry) for entry in update.workers.workers
             )
         if update.HasField('fleet'):
-            self._view.directory = _peers(update.fleet.directory)
-            self._view.gateways = _peers(update.fleet.gateways)
+            self._view.take_nodes(
+                _peers(update.fleet.directory),
+                _peers(update.fleet.gateways),
+                self._clock.now(),
+            )
 
     def _take_config(self, body: bytes) -> None:
         try:
