Split the survey of engines from the choice among them

No behaviour changes: the tests of placing pass as they were, but for an import. The soak's proxy survives being ended while it connects.

--- a/tests/test_serving_placement.py
+++ b/tests/test_serving_placement.py
@@ -8,9 +8,9 @@
     Chooser,
     NoRoom,
     Placed,
-    Wanted,
     place,
 )
+from verbenathread.serving.survey import Wanted
 from verbenathread.serving.types import Prompt
 from verbenathread.types import Address
 
--- a/tools/soak/loopback_proxy.py
+++ b/tools/soak/loopback_proxy.py
@@ -90,7 +90,7 @@
         task.add_done_callback(self._tasks.discard)
         try:
             there = await asyncio.open_connection(*self.target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             reset(writer)
             return
         link = _Link(writer, there[1])
--- a/verbenathread/gateway/choosing.py
+++ b/verbenathread/gateway/choosing.py
@@ -9,13 +9,8 @@
 from verbenathread.http1.messages import ResponseHead
 from verbenathread.serving.dialect import CallerRequest, Holder
 from verbenathread.serving.fleet_load import PromptPart, Send
-from verbenathread.serving.placement import (
-    LONG_TOKENS,
-    NoRoom,
-    Placed,
-    Wanted,
-    place,
-)
+from verbenathread.serving.placement import NoRoom, Placed, place
+from verbenathread.serving.survey import LONG_TOKENS, Wanted
 from verbenathread.serving.types import Prompt, Route, ServiceSpec, Worker
 from verbenathread.types import Millis
 
