Tell other gateways of a send before its connection stands

Four gateways chose one engine within 10 ms: the others heard of a send after its connection stood. Now they hear of it at once, and of its end if no connection comes.

Ruled out: lost notices and work of callers that left (queue lengths fit our counts); the list of gateways (no change of leaders in these seconds).

Test: test_others_hear_of_a_send_before_it_connects fails before, passes after.

--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -1,7 +1,7 @@
 """One request through a gateway, whatever its worker does."""
 
 import asyncio
-import unittest
+from unittest import IsolatedAsyncioTestCase, mock
 
 from tests.gateway_harness import GatewayHarness, read_answer, request
 from tests.standins.platform_worker import (
@@ -137,7 +137,7 @@
     await asyncio.sleep(30)
 
 
-class GatewayTest(unittest.IsolatedAsyncioTestCase):
+class GatewayTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.harness = GatewayHarness()
 
@@ -295,6 +295,23 @@
                 self.assertEqual(answered.body, EVENTS)
                 await self.harness.stop()
 
+    async def test_others_hear_of_a_send_before_it_connects(self):
+        await self.serve('desk', stream, stream)
+        parts = self.harness.parts
+        known = []
+
+        async def take(worker, left):
+            load = parts.fleet.load(worker.worker_id)
+            known.append(len(load.send_by_id))
+            raise ConnectionRefusedError
+
+        with mock.patch.object(parts.pool, 'take', take):
+            answered = await self.harness.ask('/note/1')
+        self.assertEqual(answered.status, 503)
+        self.assertEqual(set(known), {1})
+        for load in parts.fleet.load_by_id.values():
+            self.assertEqual(load.send_by_id, {})
+
     async def test_a_silent_worker_that_lives_is_waited_for(self):
         async def pause(seen, writer):
             writer.write(stream_head(seen) + chunk(event(1)))
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -112,6 +112,14 @@
             await self._try_once(choice)
 
     async def _try_once(self, choice: Choice) -> None:
+        # Others hear of it before the connection stands: until they do, they
+        # take the same slot.
+        noted = self._chooser.note_send(choice)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._chooser.note_end, choice, noted)
+            await self._connect_and_send(choice)
+
+    async def _connect_and_send(self, choice: Choice) -> None:
         connection = await self._connect(choice.worker)
         if connection is None:
             self._chooser.exclude(choice.worker)
@@ -162,16 +170,14 @@
         self._attempt = attempt
         self._sends += 1
         parts.outliers.note_sent(choice.worker.worker_id, started)
-        noted = self._chooser.note_send(choice)
         attempt.on_first = functools.partial(self._note_first, choice, started)
         result = await attempt.run(
             self._message(choice),
             self._job.deadline,
-            self._stall(choice),
+            _stall_limits(self._job, choice),
             functools.partial(self._is_alive, choice.worker),
         )
         self._attempt = None
-        self._chooser.note_end(choice, noted)
         parts.measures.sends.labels(result.verdict.value).inc()
         if result.verdict in {Verdict.COMPLETE, Verdict.NOT_RUN}:
             parts.pool.give_back(choice.worker, connection)
@@ -213,15 +219,6 @@
             job.request.method, job.request.target, headers, job.request.body
         )
 
-    def _stall(self, choice: Choice) -> StallLimits:
-        route = self._job.matched.route
-        if route.kind is not RequestKind.STREAM:
-            whole = self._job.deadline
-            return StallLimits(whole, whole)
-        later = max(_LEAST_STALL, _STALL_PAUSES * route.target_pause)
-        first = _FIRST_STALL + int(_STALL_TARGETS * route.target_latency)
-        return StallLimits(first + 2 * choice.first_in, later)
-
     def _settle(self, worker: Worker, result: Result) -> None:
         """Answer the caller, or leave the request for another worker."""
         if result.verdict is Verdict.ABANDONED:
@@ -382,3 +379,13 @@
             tokens=0 if prompt is None else prompt.tokens,
             written=0 if self._relay is None else self._relay.written_bytes,
         )
+
+
+def _stall_limits(job: Job, choice: Choice) -> StallLimits:
+    """Return the silence after which a worker is asked whether it lives."""
+    route = job.matched.route
+    if route.kind is not RequestKind.STREAM:
+        return StallLimits(job.deadline, job.deadline)
+    later = max(_LEAST_STALL, _STALL_PAUSES * route.target_pause)
+    first = _FIRST_STALL + int(_STALL_TARGETS * route.target_latency)
+    return StallLimits(first + 2 * choice.first_in, later)
