--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -20,7 +20,6 @@
 
 NODE_KEY = 'node-key'
 CLUSTER = 'proof'
-_BROKEN = (GRPCError, StreamTerminatedError, OSError)
 
 
 def free_ports(count: int) -> list[int]:
--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -14,14 +15,12 @@
 from tools.soak.operator import Operator
 from tools.soak.staff import Staff
 from verbenathread.clock import Clock, SystemClock, seconds
-from verbenathread.types import Millis
+from verbenathread.types import Address, Millis
 
 _START_LIMIT: Millis = 15_000
 _SERIES: Millis = 4000
 # Longer than a fault counts after its end.
 _CALM: Millis = 4000
-# All is back within this of the last fault (the platform's bound).
-_RECOVERY: Millis = 12_000
 # Memory is free this long after the last request that used it.
 _FREE: Millis = 4000
 _LOOK_EVERY: Millis = 200
@@ -129,7 +128,7 @@
                 await asyncio.sleep(seconds(_LOOK_EVERY))
             caller.close()
 
-    def _caller(self, name: str, *gateways: Any) -> Caller:
+    def _caller(self, name: str, *gateways: Address) -> Caller:
         known = [node.address for node in self._fleet.gateways]
         return Caller(name, list(gateways) or known, self.findings, self._clock)
 
@@ -152,7 +151,14 @@
 
 
 async def play(seed: int, folder: Path, size: Size) -> Findings:
-    """Play the soak of one seed with its processes below ``folder``."""
+    """Play the soak of one seed with its processes below ``folder``.
+
+    SIGTERM ends it early, with all that it started.
+    """
+    playing = asyncio.current_task()
+    if playing is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, playing.cancel)
     with running(folder) as processes:
         findings = Findings(SystemClock())
         fleet = Fleet(processes, size.directories, size.gateways, findings)
