--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -144,9 +144,14 @@
             task.print_stack()
 
     async def _cancel(self, keep: int = 0) -> None:
-        for task in self._tasks[keep:]:
-            task.cancel()
-        await asyncio.gather(*self._tasks[keep:], return_exceptions=True)
+        ending = self._tasks[keep:]
+        while ending:
+            # Until Python 3.12 a cancel is lost that meets the end of what
+            # asyncio.wait_for waits for.
+            for task in ending:
+                task.cancel()
+            _, running_on = await asyncio.wait(ending, timeout=1)
+            ending = list(running_on)
         self._tasks = self._tasks[:keep]
 
 
