--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,7 +8,7 @@
 from tools.soak.findings import Findings
 from tools.soak.fleet import GRACE, Fleet, Node
 from tools.soak.loopback_proxy import Direction
-from tools.soak.staff import Staff
+from tools.soak.worker_pool import WorkerPool
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Millis
 
@@ -32,14 +32,14 @@
     def __init__(
         self,
         fleet: Fleet,
-        staff: Staff,
+        pool: WorkerPool,
         findings: Findings,
         clock: Clock,
         seed: int,
     ) -> None:
         """Draw everything from ``seed``."""
         self._fleet = fleet
-        self._staff = staff
+        self._pool = pool
         self._findings = findings
         self._clock = clock
         self._random = random.Random(seed)
@@ -75,7 +75,7 @@
         """Do planned work only: stops, a leave, other seeds."""
         node = self._random.choice(self._fleet.gateways)
         await asyncio.gather(
-            self._terminate(node), self._staff.replace(self._random)
+            self._terminate(node), self._pool.replace(self._random)
         )
         self._fleet.move_seeds(self._random.randrange(3))
 
@@ -160,19 +160,19 @@
 
     async def _silence(self) -> None:
         """Let open connections of a node or a worker say nothing more."""
-        proxies = list(self._staff.proxies)
+        proxies = list(self._pool.proxies)
         for node in self._fleet.nodes:
             proxies.extend(node.proxies)
         self._random.choice(proxies).silence()
 
     async def _fail_worker(self) -> None:
-        worker = self._random.choice(self._staff.workers)
+        worker = self._random.choice(self._pool.workers)
         worker.fault_share = _SPOILED_SHARE
         await self._last()
         worker.fault_share = 0
 
     async def _crash_worker(self) -> None:
-        await self._staff.crash(self._random)
+        await self._pool.crash(self._random)
 
     async def _lose_disk(self) -> None:
         """Take the disk of one directory process; one may be lost at once."""
--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -13,7 +13,7 @@
 from tools.soak.findings import Findings
 from tools.soak.fleet import Fleet
 from tools.soak.operator import Operator
-from tools.soak.staff import Staff
+from tools.soak.worker_pool import WorkerPool
 from verbenathread.clock import Clock, SystemClock, seconds
 from verbenathread.types import Address, Millis
 
@@ -49,18 +49,18 @@
         self._fleet = fleet
         self._size = size
         self._seed = seed
-        self._staff = Staff(fleet, self.findings, self._clock, size.engines)
+        self._pool = WorkerPool(fleet, self.findings, self._clock, size.engines)
         self._operator = Operator(fleet, self.findings, self._clock, seed)
         self._faults = Faults(
-            fleet, self._staff, self.findings, self._clock, seed
+            fleet, self._pool, self.findings, self._clock, seed
         )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def play(self) -> None:
         """Play the faults and check what can be told at the end."""
         await self._fleet.start()
-        await self._staff.start()
-        self._spawn(self._staff.beat())
+        await self._pool.start()
+        self._spawn(self._pool.beat())
         await asyncio.wait_for(self._operator.change(), seconds(_START_LIMIT))
         await self._until_served()
         self._spawn(self._operator.run())
@@ -88,7 +88,7 @@
         """End every task, process, worker and proxy."""
         await self._cancel()
         await self._fleet.stop()
-        await self._staff.stop()
+        await self._pool.stop()
 
     async def _finish(self) -> None:
         await asyncio.sleep(seconds(_CALM))
@@ -98,7 +98,7 @@
         await self._check_served()
         await self._operator.read_back()
         await asyncio.sleep(seconds(_FREE))
-        for worker in self._staff.workers:
+        for worker in self._pool.workers:
             if worker.tickets():
                 held = worker.tickets()
                 self.findings.breach('LEAK', f'{worker.worker_id} {held}')
--- a/tools/soak/staff.py
+++ b/tools/soak/worker_pool.py
@@ -24,13 +24,13 @@
 _NOBODY = Address('127.0.0.1', 9)
 
 
-class Staff:
+class WorkerPool:
     """Engines and ledgers behind their proxies."""
 
     def __init__(
         self, fleet: Fleet, findings: Findings, clock: Clock, engines: int
     ) -> None:
-        """Have ``engines`` engines and two ledgers."""
+        """Prepare ``engines`` engines and two ledgers."""
         self._fleet = fleet
         self._findings = findings
         self._clock = clock
@@ -52,7 +52,7 @@
         """Start a worker at each address."""
         for service, proxy in zip(self._services, self.proxies, strict=True):
             await proxy.start()
-            worker = await self._hire(service, proxy)
+            worker = await self._start_worker(service, proxy)
             self.workers.append(worker)
 
     async def stop(self) -> None:
@@ -90,11 +90,13 @@
         """End the worker at one address and start another."""
         worker = self.workers[number]
         await worker.crash()
-        self.workers[number] = await self._hire(
+        self.workers[number] = await self._start_worker(
             worker.service, self.proxies[number]
         )
 
-    async def _hire(self, service: str, proxy: LoopbackProxy) -> SoakWorker:
+    async def _start_worker(
+        self, service: str, proxy: LoopbackProxy
+    ) -> SoakWorker:
         worker_id = f'i-{next(self._numbers)}'
         worker = SoakWorker(
             service, worker_id, proxy, self._findings, self._clock
@@ -123,7 +125,8 @@
         self, worker: SoakWorker, call: str, said: dict[str, object]
     ) -> bool:
         addresses = [node.address for node in self._fleet.directories]
-        random.shuffle(addresses)
+        chance = random.Random(f'{worker.worker_id} {worker.sequence}')
+        chance.shuffle(addresses)
         answered = await ask_any(
             addresses,
             'POST',
