Accept fractions and units in the numbers that the platform fills in

Cause: retry_slack took whole numbers only. The platform fills in 37.67 on the small twin of a large deployment, and every gateway ended at its start. The other durations were built by appending 000 to a number of seconds, which fails on 7.5 too.

Change: a duration is read as a number with an optional unit (ms or s) and rounded; retry_slack is a fraction; lower limits follow from the meaning.

--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -17,12 +17,14 @@
 from verbenathread.serving.fleet_load import FleetLoad
 from verbenathread.serving.plain_balancer import PlainBalancer
 from verbenathread.serving.retry_budget import RetryBudget
-from verbenathread.types import Peer
+from verbenathread.types import Millis, Peer
 
 # Lease of reserved memory, as a share of the longest time that it may stay
 # reserved unused. A lease runs from the arrival of the last renewal; the rest
 # covers its delivery.
 _LEASE_SHARE = 0.8
+# A shorter lease would be lost to a single slow renewal.
+_MIN_LEASE: Millis = 300
 
 
 class GatewayContext(NamedTuple):
@@ -78,7 +80,7 @@
             worker_client,
             dialect,
             clock,
-            int(section.reserve_stale * _LEASE_SHARE),
+            max(_MIN_LEASE, int(section.reserve_stale * _LEASE_SHARE)),
         ),
         queue=AdmissionQueue(clock),
         metrics=GatewayMetrics(),
--- a/verbenathread/serving/retry_budget.py
+++ b/verbenathread/serving/retry_budget.py
@@ -13,7 +13,7 @@
     number of gateways.
     """
 
-    def __init__(self, share: float, slack: int, window: Millis) -> None:
+    def __init__(self, share: float, slack: float, window: Millis) -> None:
         """Allow ``share`` of the requests in ``window``, plus ``slack``."""
         self._share = share
         self._slack = slack
--- a/verbenathread/settings/rules.py
+++ b/verbenathread/settings/rules.py
@@ -1,7 +1,9 @@
 """The schema's rules for options, and the checks that apply them."""
 
+import math
 import re
 from collections.abc import Iterator
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from google.protobuf.descriptor import FieldDescriptor
@@ -11,6 +13,9 @@
 
 _TRUE_WORDS = frozenset(('yes', 'true', 'on', '1'))
 _FALSE_WORDS = frozenset(('no', 'false', 'off', '0'))
+_MILLISECONDS = 'ms'
+# A duration in ms may also be written with one of these units.
+_MS_BY_UNIT = MappingProxyType({'': 1, 'ms': 1, 's': 1000})
 _INTEGER_TYPES = frozenset(
     (
         FieldDescriptor.TYPE_UINT32,
@@ -58,6 +63,8 @@
             return f'one of {", ".join(self.rule.choices)}'
         if self.field.type == FieldDescriptor.TYPE_BOOL:
             return 'yes or no'
+        if self.rule.unit == _MILLISECONDS:
+            return 'duration'
         if self.field.type in _INTEGER_TYPES:
             return 'whole number'
         if self.field.type == FieldDescriptor.TYPE_DOUBLE:
@@ -134,12 +141,11 @@
 
 
 def _convert_number(option: Option, text: str) -> int | float:
-    whole = option.field.type in _INTEGER_TYPES
     rule = option.rule
     unit = f' {rule.unit}' if rule.unit else ''
     remedy = f'write a {option.value_description()} from {rule.least:g} to {rule.most:g}{unit}'
     try:
-        number = int(text) if whole else float(text)
+        number = _parse_number(option, text)
     except ValueError:
         raise BadValueError(
             f'{text!r} is not a {option.value_description()}', remedy
@@ -148,3 +154,18 @@
     if not rule.least <= number <= rule.most:
         raise BadValueError(f'{text} is out of range', remedy)
     return number
+
+
+def _parse_number(option: Option, text: str) -> int | float:
+    """Return the number in ``text``; raises ValueError if there is none."""
+    whole = option.field.type in _INTEGER_TYPES
+    if option.rule.unit != _MILLISECONDS:
+        return int(text) if whole else float(text)
+    digits = text.rstrip('ms ')
+    unit = text[len(digits) :].strip()
+    if unit not in _MS_BY_UNIT:
+        raise ValueError(f'{unit} is not a unit of time')
+    duration = float(digits) * _MS_BY_UNIT[unit]
+    if not whole or not math.isfinite(duration):
+        return duration
+    return round(duration)
