Spread short prompts over a large fleet

Cause: the cost of a position in the common order of engines was meant for 20 of them.

Change: the last position costs as much in any fleet; the spread between gateways grows with the fleet.

--- /dev/null
+++ b/tools/fleet_replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of the placement of many gateways before many engines."""
--- a/verbenathread/serving/estimates.py
+++ b/verbenathread/serving/estimates.py
@@ -29,8 +29,11 @@
 _BASE_VALUE = 0.8
 TOKENS_PER_VALUE = 9000
 # Costs per position in the common order, of another data centre and per
-# request already running. They only break ties.
+# request already running. They only break ties. The last position of a large
+# fleet costs _MAX_RANK_COST, or short prompts would fill each engine to its
+# last slot before they use one further on.
 _RANK_COST = 0.001
+_MAX_RANK_COST = 0.02
 _REMOTE_COST = 0.004
 _CONCURRENCY_COST = 0.0005
 # Engines reserved for short prompts while none is in progress.
@@ -50,9 +53,12 @@
 # Gateways that place requests within a few ms of each other pick the same
 # slot, so the last slot of an engine is avoided while others have free ones.
 _LAST_SLOT_COST = 0.03
-# Largest cost by which a gateway's own order shifts an engine, about six
-# positions, so that gateways choose differently among equal engines.
-_GATEWAY_SPREAD_COST = 0.006
+# Largest cost by which a gateway's own order shifts an engine, so that gateways
+# choose differently among equal engines. It grows with the fleet, as more of
+# them choose at the same time.
+_MIN_SPREAD_COST = 0.006
+_SPREAD_COST_PER_ENGINE = 0.0003
+_MAX_SPREAD_COST = 0.03
 _SPREAD_BUCKETS = 1024
 # Share of an answer's value charged for a wait up to the target. A forecast
 # fails when a longer prompt arrives later, which is less likely the sooner
@@ -131,6 +137,11 @@
         self._workers = workers
         self._fleet = fleet
         self._now = now
+        self._rank_cost = min(_RANK_COST, _MAX_RANK_COST / max(1, len(workers)))
+        spread_cost = _SPREAD_COST_PER_ENGINE * len(workers)
+        self._spread_cost = min(
+            _MAX_SPREAD_COST, max(_MIN_SPREAD_COST, spread_cost)
+        )
         self._is_long = request.prompt.tokens > LONG_PROMPT_TOKENS
         short_count = self._count_short_prompts()
         # The first engines of the common order are reserved for short
@@ -190,7 +201,7 @@
 
     def _preference_cost(self, rank: int, worker: Worker, count: int) -> float:
         """Return the cost that breaks ties between equal engines."""
-        preference_cost = rank * _RANK_COST + count * _CONCURRENCY_COST
+        preference_cost = rank * self._rank_cost + count * _CONCURRENCY_COST
         if count >= min(worker.slots, self._engine.slots) - 1:
             preference_cost += _LAST_SLOT_COST
         share = (
@@ -198,7 +209,7 @@
             % _SPREAD_BUCKETS
             / _SPREAD_BUCKETS
         )
-        preference_cost += share * _GATEWAY_SPREAD_COST
+        preference_cost += share * self._spread_cost
         if not self._is_long and not self._in_short_pool(rank):
             preference_cost += _OUTSIDE_POOL_COST
         if worker.data_centre != self._request.data_centre:
