Send gateways what changed, and build it once

Cause: a directory leader built the whole list of workers and of gateways anew for each gateway at each change, and each gateway that connected changed the list for all others.

Change: an update holds the workers that changed since the last one; lists are built once; a change of nodes waits for the next regular update; changes that follow each other are sent together; gateways that connect at the same time share one barrier; the regular interval grows with the gateways, and the leader says it.

--- a/verbenathread/directory/service.py
+++ b/verbenathread/directory/service.py
@@ -4,26 +4,34 @@
 import contextlib
 import functools
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from grpclib.server import Stream
 
 from verbenathread.clock import Clock, seconds
 from verbenathread.consensus.replica import Replica
 from verbenathread.consensus.waiting import Signal
-from verbenathread.directory.machine import DirectoryMachine, encode_worker
+from verbenathread.directory.machine import DirectoryMachine
 from verbenathread.directory.membership import MembershipManager
+from verbenathread.directory.shared_barrier import SharedBarrier
+from verbenathread.directory.updates import (
+    SentState,
+    UpdateSource,
+    encode_peer,
+)
 from verbenathread.exceptions import UnavailableError
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema import directory_pb2 as messages
 from verbenathread.schema.directory_grpc import DirectoryBase
 from verbenathread.settings.node import parse_address
-from verbenathread.types import Address, Millis, NodeId, Peer
+from verbenathread.types import Address, Millis, Peer
 
 _log = get_logger('directory')
 
-# Longest interval between two updates to a gateway.
-_UPDATE_INTERVAL: Millis = 500
+# How often a change is looked for while no entry of the log is applied.
+_CHECK_INTERVAL: Millis = 500
+# Changes of workers that follow each other are sent together: this time for
+# each gateway, as each update to all of them takes a leader as long.
+_COALESCING_PER_GATEWAY: Millis = 1
 # Every gateway parses each configuration that it receives, so of several that
 # arrive within this interval only the latest is sent.
 _CONFIG_INTERVAL: Millis = 200
@@ -35,14 +43,6 @@
 _LEADER_TIMEOUT: Millis = 400
 
 
-class _SentState(NamedTuple):
-    """Versions of the state last sent to one gateway."""
-
-    config_version: int
-    registry_changes: int = -1
-    node_changes: int = -1
-
-
 class DirectoryService(DirectoryBase):
     """Implements the ``Watch`` and ``Join`` calls."""
 
@@ -59,29 +59,30 @@
         self._membership = membership
         self._clock = clock
         self._changed = Signal(clock)
-        self._gateway_by_id: dict[NodeId, messages.NodeAddress] = {}
-        self._node_changes = 0
-        self._members: tuple[Peer, ...] = ()
+        self._updates = UpdateSource(machine)
+        self._barrier = SharedBarrier(
+            functools.partial(replica.barrier, _BARRIER_TIMEOUT)
+        )
 
     async def run(self) -> None:
         """Wake the watch streams after each change."""
         applied = 0
+        config_version = 0
         while True:
             try:
                 applied = await self._replica.wait_applied(
-                    applied, _UPDATE_INTERVAL
+                    applied, _CHECK_INTERVAL
                 )
             except UnavailableError:
-                await asyncio.sleep(seconds(_UPDATE_INTERVAL))
-            members = tuple(self.directory_peers())
-            if members != self._members:
-                self._members = members
-                self._node_changes += 1
-            self._changed.notify_all()
+                await asyncio.sleep(seconds(_CHECK_INTERVAL))
+            has_changes = self._updates.refresh(self.directory_peers())
+            if has_changes or config_version != self._machine.config_version:
+                config_version = self._machine.config_version
+                self._changed.notify_all()
 
     def gateway_count(self) -> int:
         """Return the number of gateways that watch this process."""
-        return len(self._gateway_by_id)
+        return self._updates.gateway_count()
 
     def directory_peers(self) -> Iterable[Peer]:
         """Return the directory's replica group, as seen by this replica."""
@@ -97,7 +98,7 @@
             return
         await self._replica.wait_leader(_LEADER_TIMEOUT)
         try:
-            await self._replica.barrier(_BARRIER_TIMEOUT)
+            await self._barrier.wait()
         except UnavailableError:
             await stream.send_message(
                 messages.WatchUpdate(leader=self._leader())
@@ -105,11 +106,14 @@
             return
         gateway = request.gateway
         _log.info('Gateway watch started.', gateway=gateway.node_id)
-        self._gateway_by_id[gateway.node_id] = gateway
-        self._node_changes += 1
+        self._updates.refresh(self.directory_peers())
+        self._updates.add_gateway(gateway)
         with contextlib.ExitStack() as stack:
             stack.callback(self._remove_gateway, gateway)
-            await self._send_updates(stream, _SentState(request.config_version))
+            sent = SentState(
+                request.config_version, accepts_changes=request.accepts_changes
+            )
+            await self._send_updates(stream, sent)
 
     async def Join(  # noqa: N802  the generated base sets the name
         self, stream: Stream[messages.JoinRequest, messages.JoinReply]
@@ -124,70 +128,35 @@
             peer = Peer(node.node_id, Address(node.host, node.port))
             reply.member = self._membership.request_join(peer, request.store_id)
         for peer in self.directory_peers():
-            reply.directory.append(_encode_peer(peer))
+            reply.directory.append(encode_peer(peer))
         await stream.send_message(reply)
 
     def _remove_gateway(self, gateway: messages.NodeAddress) -> None:
         _log.info('Gateway watch ended.', gateway=gateway.node_id)
-        if self._gateway_by_id.get(gateway.node_id) is gateway:
-            self._gateway_by_id.pop(gateway.node_id)
-            self._node_changes += 1
+        self._updates.remove_gateway(gateway)
 
     async def _send_updates(
         self,
         stream: Stream[messages.WatchRequest, messages.WatchUpdate],
-        sent: _SentState,
+        sent: SentState,
     ) -> None:
         while self._replica.status().is_leader:
-            update, newly_sent = self._build_update(sent)
+            update, newly_sent = self._updates.build(sent)
             await stream.send_message(update)
+            pause = _COALESCING_PER_GATEWAY * self._updates.gateway_count()
             if newly_sent.config_version != sent.config_version:
-                await asyncio.sleep(seconds(_CONFIG_INTERVAL))
+                pause = max(pause, _CONFIG_INTERVAL)
             sent = newly_sent
-            has_changes = functools.partial(self._has_changes, sent)
-            await self._changed.wait_for(has_changes, _UPDATE_INTERVAL)
+            await asyncio.sleep(seconds(pause))
+            await self._changed.wait_for(
+                functools.partial(self._updates.has_changes, sent),
+                self._updates.interval() - pause,
+            )
         await stream.send_message(messages.WatchUpdate(leader=self._leader()))
 
-    def _has_changes(self, sent: _SentState) -> bool:
-        machine = self._machine
-        return (
-            machine.config_version > sent.config_version
-            or machine.registry_changes != sent.registry_changes
-            or self._node_changes != sent.node_changes
-        )
-
-    def _build_update(
-        self, sent: _SentState
-    ) -> tuple[messages.WatchUpdate, _SentState]:
-        machine = self._machine
-        update = messages.WatchUpdate(leads=True)
-        if machine.config_version > sent.config_version:
-            update.config = machine.config_body
-            update.config_version = machine.config_version
-        if machine.registry_changes != sent.registry_changes:
-            update.workers.SetInParent()
-            for worker in machine.registry.live_workers():
-                update.workers.workers.append(encode_worker(worker))
-        if self._node_changes != sent.node_changes:
-            update.fleet.SetInParent()
-            for peer in self.directory_peers():
-                update.fleet.directory.append(_encode_peer(peer))
-            update.fleet.gateways.extend(self._gateway_by_id.values())
-        latest_version = max(machine.config_version, sent.config_version)
-        newly_sent = _SentState(
-            latest_version, machine.registry_changes, self._node_changes
-        )
-        return update, newly_sent
-
     def _leader(self) -> messages.NodeAddress | None:
         status = self._replica.status()
         if not status.leader_address:
             return None
         address = parse_address(status.leader_address)
-        return _encode_peer(Peer(status.leader, address))
-
-
-def _encode_peer(peer: Peer) -> messages.NodeAddress:
-    return messages.NodeAddress(
-        node_id=peer.node_id, host=peer.address.host, port=peer.address.port
-    )
+        return encode_peer(Peer(status.leader, address))
--- a/verbenathread/gateway/probing.py
+++ b/verbenathread/gateway/probing.py
@@ -71,7 +71,10 @@
 
     def _assigned_engines(self) -> list[Worker]:
         node_ids = frozenset(
-            (self._node_id, *(peer.node_id for peer in self._view.gateways))
+            (
+                self._node_id,
+                *(peer.node_id for peer in self._view.notice_targets),
+            )
         )
         assigned = []
         for worker in self._engines():
--- a/verbenathread/gateway/view.py
+++ b/verbenathread/gateway/view.py
@@ -12,9 +12,9 @@
 
 # Sends that were announced before a gateway started end within about this time.
 _WARM_UP: Millis = 2500
-# A gateway that is no longer listed still receives notices for this long: after
-# a change of leader the list is complete again within about 2 s.
-_NOTICE_RETENTION: Millis = 5000
+# A gateway that is no longer listed still receives notices for this long. After
+# a change of leader it is listed again once it has found the new one.
+_NOTICE_RETENTION: Millis = 15_000
 
 # Workers that leave are remembered up to this number; a rollout of 4,000
 # workers leaves that many.
@@ -97,6 +97,17 @@
         for notify in self.on_workers:
             notify(worker_ids)
 
+    def change_workers(
+        self, changed: Iterable[Worker], removed_ids: Iterable[str]
+    ) -> None:
+        """Apply the changes of the directory's list since the last one."""
+        worker_by_id = dict(self.worker_by_id)
+        for removed_id in removed_ids:
+            worker_by_id.pop(removed_id, None)
+        for worker in changed:
+            worker_by_id[worker.worker_id] = worker
+        self.apply_workers(worker_by_id.values())
+
     def apply_nodes(
         self,
         directory: tuple[Peer, ...],
@@ -115,11 +126,9 @@
 
     def expire_unlisted(self, now: Millis) -> None:
         """Stop notifying gateways that were last listed too long ago."""
+        listed = frozenset(self.gateways)
         for peer, listed_at in tuple(self._listed_at_by_peer.items()):
-            if (
-                peer not in self.gateways
-                and now - listed_at > _NOTICE_RETENTION
-            ):
+            if peer not in listed and now - listed_at > _NOTICE_RETENTION:
                 self._listed_at_by_peer.pop(peer)
         self.notice_targets = tuple(self._listed_at_by_peer)
 
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -21,12 +21,17 @@
 
 _log = get_logger('gateway')
 
-# A leader sends an update every 500 ms; after two missed ones another process
-# may lead.
-_UPDATE_TIMEOUT: Millis = 1100
+# After two missed updates another process may lead. The leader says how often
+# it sends them.
+_MISSED_UPDATES = 2
+_UPDATE_MARGIN: Millis = 100
+_DEFAULT_INTERVAL: Millis = 500
 # A VM that is down or partitioned never accepts a connection.
 _CONNECT_TIMEOUT: Millis = 400
 _FIRST_UPDATE_TIMEOUT: Millis = 600
+# The first update of a process that another one names as the leader may take
+# longer: a new leader is found by all gateways at the same time.
+_LEADER_UPDATE_TIMEOUT: Millis = 2000
 # Delay between two rounds over all known processes. Each timeout adds this
 # many delays, up to a maximum number of timeouts.
 _ROUND_DELAY: Millis = 100
@@ -83,7 +88,9 @@
     async def _try_all(self, hint: Address | None) -> Address | None:
         """Try all known processes; return the leader that one points to."""
         for address in self._candidates(hint):
-            leader = await self._follow(address)  # noqa: WPS476 - one by one
+            leader = await self._follow(  # noqa: WPS476 - one by one
+                address, is_named=address == hint
+            )
             if leader is not None and leader != address:
                 return leader
         return None
@@ -103,11 +110,19 @@
             ordered = [hint, *(other for other in ordered if other != hint)]
         return ordered
 
-    async def _follow(self, address: Address) -> Address | None:
-        """Follow one process while it leads; return the leader it names."""
+    async def _follow(
+        self, address: Address, *, is_named: bool
+    ) -> Address | None:
+        """Follow one process while it leads; return the leader it names.
+
+        ``is_named`` tells that another process named it as the leader.
+        """
         channel = PeerChannel(address.host, address.port)
+        timeout = _FIRST_UPDATE_TIMEOUT * (1 + self._timeouts)
+        if is_named:
+            timeout = max(timeout, _LEADER_UPDATE_TIMEOUT)
         try:
-            return await self._read(channel, address)
+            return await self._read(channel, address, timeout)
         except RPC_ERRORS as error:
             self.mark_unresponsive(address)
             if isinstance(error, TimeoutError):
@@ -123,18 +138,20 @@
             self._view.is_fresh = False
             channel.close()
 
-    async def _read(self, channel: Channel, address: Address) -> Address | None:
+    async def _read(
+        self, channel: Channel, address: Address, timeout: Millis
+    ) -> Address | None:
         me = self._me
         request = messages.WatchRequest(
             gateway=messages.NodeAddress(
                 node_id=me.node_id, host=me.address.host, port=me.address.port
             ),
             config_version=self._view.config_version,
+            accepts_changes=True,
         )
         async with asyncio.timeout(seconds(_CONNECT_TIMEOUT)):
             stream = await DirectoryStub(channel).Watch.open().__aenter__()
             await stream.send_message(request, end=True)
-        timeout = _FIRST_UPDATE_TIMEOUT * (1 + self._timeouts)
         while True:
             async with asyncio.timeout(seconds(timeout)):
                 update = await stream.recv_message()
@@ -151,7 +168,8 @@
             self._apply(update)
             self._unresponsive.discard(address)
             self._timeouts = 0
-            timeout = _UPDATE_TIMEOUT
+            interval = update.interval or _DEFAULT_INTERVAL
+            timeout = _MISSED_UPDATES * interval + _UPDATE_MARGIN
 
     def _apply(self, update: messages.WatchUpdate) -> None:
         if update.config:
@@ -160,6 +178,12 @@
             self._view.apply_workers(
                 decode_worker(entry) for entry in update.workers.workers
             )
+        if update.HasField('worker_changes'):
+            changes = update.worker_changes
+            self._view.change_workers(
+                (decode_worker(entry) for entry in changes.changed),
+                changes.removed_ids,
+            )
         if update.HasField('fleet'):
             self._view.apply_nodes(
                 _peers(update.fleet.directory),
