Let a replica wait while its disk is full

Cause: a full disk (errno 28) failed the replica, and the directory process ended with code 7; each restart found the disk still full.

Change: a write that finds no space is tried again each 100 ms, over its torn beginning, under the lock that it holds; a failed sync stops the replica as before. Meanwhile a leader hands leadership over, the replica votes for nobody, takes no entries and refuses calls that would write, so that they don't pile up.

--- a/tests/consensus_network.py
+++ b/tests/consensus_network.py
@@ -44,10 +44,15 @@
 
     def append(self, name, content):
         if self.full:
+            # The write stops in the middle of the content.
+            torn = content[: self.rng.randint(0, len(content) - 1)]
+            self.content[name] = self.content.get(name, b'') + torn
             raise OSError(28, 'No space left on device')
         self.content[name] = self.content.get(name, b'') + content
 
     def overwrite(self, name, content):
+        if self.full:
+            raise OSError(28, 'No space left on device')
         self.content[name] = (
             content + self.content.get(name, b'')[len(content) :]
         )
--- a/verbenathread/consensus/applier.py
+++ b/verbenathread/consensus/applier.py
@@ -2,13 +2,16 @@
 
 from verbenathread.consensus.machine import Applied, StateMachine
 from verbenathread.consensus.state import Proposal, ReplicaState
-from verbenathread.exceptions import UnknownOutcomeError
+from verbenathread.exceptions import DiskFullError, UnknownOutcomeError
+from verbenathread.observability.logs import get_logger
 from verbenathread.schema.consensus_pb2 import (
     ENTRY_COMMAND,
     LogEntry,
     LogSnapshot,
 )
 
+_log = get_logger('consensus')
+
 
 class Applier:
     """Advances the state machine to the commit index."""
@@ -104,7 +107,11 @@
         async with state.lock:
             snapshot = self.make_snapshot()
             keep_after = snapshot.index - kept_records
-            await state.storage.compact(snapshot, keep_after)
+            try:
+                await state.storage.compact(snapshot, keep_after)
+            except DiskFullError as error:
+                _log.warning('The log was not compacted.', reason=str(error))
+                return
             state.log.prune_members(snapshot.index)
             state.log.truncate_prefix(keep_after)
 
--- a/verbenathread/consensus/disk.py
+++ b/verbenathread/consensus/disk.py
@@ -1,14 +1,14 @@
 """Durable storage of a replica in one data folder."""
 
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from verbenathread.consensus.files import DiskFiles, Files
 from verbenathread.consensus.folder import REPLACE_MEMBER, DataFolder
 from verbenathread.consensus.segments import SegmentLog, saved_ballot
 from verbenathread.consensus.storage import Ballot, SavedState
-from verbenathread.exceptions import StorageError
+from verbenathread.exceptions import DiskFullError, StorageError
 from verbenathread.schema.consensus_pb2 import (
     DiskRecord,
     LogEntry,
@@ -30,26 +30,15 @@
 
     async def load(self, cluster: str, node_id: str) -> SavedState:
         """Load the folder, or create a new store in an empty one."""
-        self._folder.lock()
-        names = self._folder.remove_temporary_files()
-        snapshot = self._read_snapshot(names)
-        await self._segments.read(names)
-        if _IDENTITY_NAME not in names:
-            await self._create_identity(cluster, node_id, snapshot)
-        identity = self._check_identity(cluster, node_id)
-        await self._align_log_with_snapshot(snapshot)
-        replay = self._segments.replay
-        saved = SavedState(
-            store_id=identity.store_id,
-            ballot=replay.ballot,
-            base_index=replay.base_index,
-            base_term=replay.base_term,
-            entries=replay.entries,
-            snapshot=snapshot,
-        )
-        # The replica keeps the entries; only the end of the log is needed here.
-        replay.entries = []
-        return saved
+        while True:
+            try:
+                saved = await self._load(cluster, node_id)
+            except DiskFullError as error:
+                self._segments = SegmentLog(self._folder)
+                await self._folder.wait_for_space(error)
+                continue
+            self._folder.space_found()
+            return saved
 
     async def save_ballot(self, ballot: Ballot) -> None:
         """Save the term and the vote with one sync."""
@@ -61,15 +50,32 @@
         await self._segments.append(DiskRecord(entries=entries))
 
     async def compact(self, snapshot: LogSnapshot, keep_after: int) -> None:
-        """Save a snapshot, start a segment and remove obsolete ones."""
+        """Save a snapshot, start a segment and remove obsolete ones.
+
+        Raises DiskFullError if there is no space; the log stays as it is.
+        """
         await self._write_snapshot(snapshot)
         await self._segments.begin_segment()
         await self._segments.remove_oldest(keep_after)
 
     async def reset(self, snapshot: LogSnapshot) -> None:
         """Save a snapshot and start an empty log after it."""
-        await self._write_snapshot(snapshot)
-        await self._segments.reset(snapshot.index, snapshot.term)
+        while True:
+            try:
+                await self._reset(snapshot)
+            except DiskFullError as error:
+                await self._folder.wait_for_space(error)
+                continue
+            self._folder.space_found()
+            return
+
+    def is_full(self) -> bool:
+        """Return whether a write waits for space."""
+        return self._folder.is_full
+
+    def set_on_full(self, on_full: Callable[[], None]) -> None:
+        """Call ``on_full`` whenever a write begins to wait for space."""
+        self._folder.on_full = on_full
 
     def sync_count(self) -> int:
         """Return the number of syncs since the start."""
@@ -79,6 +85,32 @@
         """Close the files."""
         self._folder.close()
 
+    async def _reset(self, snapshot: LogSnapshot) -> None:
+        await self._write_snapshot(snapshot)
+        await self._segments.reset(snapshot.index, snapshot.term)
+
+    async def _load(self, cluster: str, node_id: str) -> SavedState:
+        self._folder.lock()
+        names = self._folder.remove_temporary_files()
+        snapshot = self._read_snapshot(names)
+        await self._segments.read(names)
+        if _IDENTITY_NAME not in names:
+            await self._create_identity(cluster, node_id, snapshot)
+        identity = self._check_identity(cluster, node_id)
+        await self._align_log_with_snapshot(snapshot)
+        replay = self._segments.replay
+        saved = SavedState(
+            store_id=identity.store_id,
+            ballot=replay.ballot,
+            base_index=replay.base_index,
+            base_term=replay.base_term,
+            entries=replay.entries,
+            snapshot=snapshot,
+        )
+        # The replica keeps the entries; only the end of the log is needed here.
+        replay.entries = []
+        return saved
+
     async def _create_identity(
         self, cluster: str, node_id: str, snapshot: LogSnapshot | None
     ) -> None:
--- a/verbenathread/consensus/election.py
+++ b/verbenathread/consensus/election.py
@@ -58,13 +58,16 @@
             if state.clock.now() < state.election.deadline:
                 continue
             state.election.restart()
-            if state.is_voter():
+            if state.is_voter() and not state.storage.is_full():
                 await self._run_pre_vote()
 
     async def vote(self, request: VoteRequest) -> VoteReply:
         """Grant or refuse a vote; a granted vote is synced before the reply."""
         state = self._state
         granted = False
+        if state.storage.is_full():
+            # It could not save its vote.
+            return VoteReply(head=state.envelope())
         if state.is_addressed_here(request.head) and self._allows_election(
             request
         ):
--- a/verbenathread/consensus/folder.py
+++ b/verbenathread/consensus/folder.py
@@ -1,11 +1,22 @@
 """Data folder with atomic file creation and a count of syncs."""
 
+import asyncio
+import errno
 from collections.abc import Callable
 from typing import TypeVar
 
+from verbenathread.clock import seconds
 from verbenathread.consensus import records
 from verbenathread.consensus.files import Files
-from verbenathread.exceptions import StorageError
+from verbenathread.exceptions import DiskFullError, StorageError
+from verbenathread.observability.logs import get_logger
+from verbenathread.types import Millis
+
+_log = get_logger('consensus')
+
+_FULL_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT))
+# How often a write to a full disk is tried again.
+_FULL_RETRY_INTERVAL: Millis = 100
 
 TEMPORARY_SUFFIX = '.tmp'
 REPLACE_MEMBER = (
@@ -25,6 +36,9 @@
         """Use ``files``."""
         self._files = files
         self.sync_count = 0
+        # A write waits for space; ``on_full`` is called when the wait begins.
+        self.is_full = False
+        self.on_full: Callable[[], None] | None = None
 
     def lock(self) -> None:
         """Lock the folder against other processes."""
@@ -58,6 +72,24 @@
         """Remove a file."""
         self._wrap_errors(name, lambda: self._files.remove(name))
 
+    async def wait_for_space(self, error: DiskFullError) -> None:
+        """Wait a moment before a write that failed is tried again.
+
+        The caller clears the state with :meth:`space_found`.
+        """
+        if not self.is_full:
+            self.is_full = True
+            _log.error('The disk is full; writes wait.', reason=str(error))
+            if self.on_full is not None:
+                self.on_full()
+        await asyncio.sleep(seconds(_FULL_RETRY_INTERVAL))
+
+    def space_found(self) -> None:
+        """Record that a write succeeded."""
+        if self.is_full:
+            self.is_full = False
+            _log.info('The disk takes writes again.')
+
     def remove_temporary_files(self) -> list[str]:
         """Remove files left incomplete by a crash; return the other names."""
         kept = []
@@ -88,7 +120,7 @@
     async def write_atomic(self, name: str, content: bytes) -> None:
         """Atomically create and sync a file."""
         temporary = name + TEMPORARY_SUFFIX
-        self.append(temporary, content)
+        self._write_temporary(temporary, content)
         await self.sync(temporary)
         self._wrap_errors(name, lambda: self._files.rename(temporary, name))
         await self.sync_folder()
@@ -109,10 +141,24 @@
         except OSError as error:
             raise self._sync_error('', error) from error
 
+    def _write_temporary(self, name: str, content: bytes) -> None:
+        try:
+            self.append(name, content)
+        except DiskFullError:
+            # The rest of it would take space, and precede a later attempt.
+            if name in self.names():
+                self.remove(name)
+            raise
+
     def _wrap_errors(self, name: str, work: Callable[[], _Result]) -> _Result:
         try:
             return work()
         except OSError as error:
+            if error.errno in _FULL_ERRORS:
+                raise DiskFullError(
+                    f'{self.path(name)} cannot be written: {error}. Free some '
+                    'space; this replica goes on by itself.'
+                ) from error
             raise StorageError(
                 f'{self.path(name)} cannot be read or written: {error}. '
                 'Check the permissions and the disk space, then start this '
--- a/verbenathread/consensus/replica.py
+++ b/verbenathread/consensus/replica.py
@@ -15,6 +15,7 @@
 from verbenathread.consensus.changes import MembershipChanges
 from verbenathread.consensus.election import Elections
 from verbenathread.consensus.follower import Follower
+from verbenathread.consensus.full_disk import FullDiskGuard
 from verbenathread.consensus.leader import Leader, queue_proposal
 from verbenathread.consensus.machine import Applied, StateMachine
 from verbenathread.consensus.settings import (
@@ -71,6 +72,7 @@
         follower = Follower(state, self._applier.fail_pending_from)
         self._follower = follower
         self._receiver = SnapshotReceiver(state, follower, self._applier)
+        self._full_disk = FullDiskGuard(state, self._changes, self._tasks)
         self._running = False
         self._failure = ''
 
@@ -207,6 +209,7 @@
             failure=self._failure,
             node_id=state.node_id,
             store_id=state.store_id,
+            is_disk_full=state.storage.is_full(),
         )
 
     def silent_for(self) -> dict[str, Millis]:
@@ -228,16 +231,20 @@
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
         """Handle entries from the leader."""
+        self._full_disk.require_space()
         return await self._run_uncancelled(self._follower.append(request))
 
     async def beat(self, request: messages.BeatRequest) -> messages.BeatReply:
         """Handle a heartbeat."""
+        if request.head.term > self._state.term:
+            self._full_disk.require_space()
         return await self._run_uncancelled(self._follower.beat(request))
 
     async def install(
         self, request: messages.InstallRequest
     ) -> messages.InstallReply:
         """Handle a snapshot chunk."""
+        self._full_disk.require_space()
         return await self._run_uncancelled(self._receiver.install(request))
 
     async def transfer(
--- a/verbenathread/consensus/segments.py
+++ b/verbenathread/consensus/segments.py
@@ -9,7 +9,8 @@
 from verbenathread.consensus.folder import REPLACE_MEMBER, DataFolder
 from verbenathread.consensus.replay import Replay, Segment
 from verbenathread.consensus.storage import Ballot
-from verbenathread.exceptions import StorageError
+from verbenathread.exceptions import DiskFullError, StorageError
+from verbenathread.observability.logs import get_logger
 from verbenathread.schema.consensus_pb2 import (
     DiskRecord,
     SavedBallot,
@@ -17,6 +18,8 @@
     SyncedMark,
 )
 
+_log = get_logger('consensus')
+
 _SEGMENT_PREFIX = 'segment-'
 _MARK_NAME = 'mark'
 # Length at which a new segment is started.
@@ -109,16 +112,36 @@
         packed = records.pack(
             record.SerializeToString(), segment.number, segment.length
         )
-        self._folder.append(name, packed)
+        await self._write_record(segment, packed)
         await self._folder.sync(name)
         segment.length += len(packed)
         if record.entries:
             last = record.entries[-1]
             segment.last_index = max(segment.last_index, last.index)
             self.replay.set_end(last.index, last.term)
-        self._write_mark()
-        if segment.length >= _SEGMENT_ROTATION_BYTES:
-            await self.begin_segment()
+        try:
+            self._write_mark()
+            if segment.length >= _SEGMENT_ROTATION_BYTES:
+                await self.begin_segment()
+        except DiskFullError as error:
+            # The record is durable; the next append tries again.
+            _log.warning('The log was not rotated.', reason=str(error))
+
+    async def _write_record(self, segment: Segment, packed: bytes) -> None:
+        """Append a record, waiting while the disk is full."""
+        name = _segment_name(segment.number)
+        is_torn = False
+        while True:
+            try:
+                if is_torn:
+                    self._folder.truncate(name, segment.length)
+                self._folder.append(name, packed)
+            except DiskFullError as error:
+                is_torn = True
+                await self._folder.wait_for_space(error)
+                continue
+            self._folder.space_found()
+            return
 
     def _read_segment(self, number: int, synced: int, *, is_last: bool) -> None:
         name = _segment_name(number)
--- a/verbenathread/consensus/settings.py
+++ b/verbenathread/consensus/settings.py
@@ -60,3 +60,5 @@
     # Node id of this replica, and the store id of its data folder once loaded.
     node_id: str = ''
     store_id: str = ''
+    # A write waits for space on the disk.
+    is_disk_full: bool = False
--- a/verbenathread/consensus/storage.py
+++ b/verbenathread/consensus/storage.py
@@ -1,6 +1,6 @@
 """Interface of the durable storage of a replica."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from verbenathread.schema import consensus_pb2
@@ -28,8 +28,9 @@
 class Storage(Protocol):
     """Durable state of one replica.
 
-    Each coroutine returns only once its effect is synced. After any error the
-    content is unknown and the replica must stop.
+    Each coroutine returns only once its effect is synced, and waits while the
+    disk is full. After any other error the content is unknown and the replica
+    must stop.
     """
 
     async def load(self, cluster: str, node_id: str) -> SavedState:
@@ -44,11 +45,20 @@
     async def compact(
         self, snapshot: consensus_pb2.LogSnapshot, keep_after: int
     ) -> None:
-        """Save a snapshot and remove whole segments up to ``keep_after``."""
+        """Save a snapshot and remove whole segments up to ``keep_after``.
+
+        Raises DiskFullError, with the log as it was, if there is no space.
+        """
 
     async def reset(self, snapshot: consensus_pb2.LogSnapshot) -> None:
         """Save a snapshot and start an empty log after it."""
 
+    def is_full(self) -> bool:
+        """Return whether a write waits for space on the disk."""
+
+    def set_on_full(self, on_full: Callable[[], None]) -> None:
+        """Call ``on_full`` whenever a write begins to wait for space."""
+
     def sync_count(self) -> int:
         """Return the number of syncs since the start."""
 
--- a/verbenathread/directory/daemon.py
+++ b/verbenathread/directory/daemon.py
@@ -183,6 +183,7 @@
             metrics.term.set(status.term)
             metrics.committed.set(status.commit_index)
             metrics.syncs.set(status.sync_count)
+            metrics.disk_full.set(status.is_disk_full)
             voters = sum(1 for member in status.members if member.voter)
             metrics.voters.set(voters)
             metrics.config_version.set(self._machine.config_version)
@@ -195,6 +196,8 @@
 
     def _unready_reason(self) -> str:
         status = self.replica.status()
+        if status.is_disk_full:
+            return 'the disk is full; free some space'
         return '' if status.leader else 'no leader is known'
 
     async def _join(self) -> None:
--- a/verbenathread/directory/metrics.py
+++ b/verbenathread/directory/metrics.py
@@ -29,6 +29,11 @@
             'Syncs of the disk since the start.',
             registry=self.registry,
         )
+        self.disk_full = Gauge(
+            'verbenathread_directory_disk_full',
+            '1 while a write waits for space on the disk.',
+            registry=self.registry,
+        )
         self.voters = Gauge(
             'verbenathread_directory_voters',
             'Members of the log that vote.',
--- a/verbenathread/exceptions.py
+++ b/verbenathread/exceptions.py
@@ -53,6 +53,10 @@
     exit_code = 7
 
 
+class DiskFullError(StorageError):
+    """The disk took no more bytes; nothing else is wrong with it."""
+
+
 class NotLeaderError(UnavailableError):
     """Another replica leads; ``leader`` is its address, if known."""
 
