Answer what was accepted before a planned stop, and pipelined requests

Cause: a draining server closed every connection without a request at once, so one that was just accepted, with its first request on the way, was cut off; the requests pipelined behind one in progress were dropped; and a connection whose response had begun before the stop was closed though its client was not told.

Change: a draining server closes a connection once it was idle for 300 ms or has announced the close; requests that were read are answered first.

--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -40,6 +40,15 @@
         await self.disconnected.wait()
 
 
+class BegunHandler:
+    """Sends the head of a response, and the rest a moment later."""
+
+    async def handle(self, request, response):
+        response.begin(200, ())
+        await asyncio.sleep(0.1)
+        response.finish()
+
+
 class FailingHandler:
     """Raises an unexpected error."""
 
@@ -192,6 +201,54 @@
         idle_writer.close()
         writer.close()
 
+    async def test_drain_answers_what_was_just_accepted(self):
+        # ms from the accept to the begin of the drain, from there to the request
+        cases = ((0, 0), (0, 100), (0, 200), (50, 150))
+        for before, after in cases:
+            with self.subTest(before=before, after=after):
+                await self.server.start(Address('127.0.0.1', 0))
+                reader, writer = await self.connect()
+                await asyncio.sleep(before / 1000)
+                until = self.server.clock.now() + 2000
+                drained = asyncio.create_task(self.server.drain(until))
+                await asyncio.sleep(after / 1000)
+                writer.write(GOOD)
+                response = await read_response(reader)
+                self.assertEqual(response.status, 200)
+                await asyncio.wait_for(drained, 1)
+                writer.close()
+
+    async def test_drain_answers_pipelined_requests(self):
+        self.echo.delay = 0.1
+        reader, writer = await self.connect()
+        writer.write(GOOD * 3)
+        await asyncio.sleep(0.05)
+        until = self.server.clock.now() + 2000
+        drained = asyncio.create_task(self.server.drain(until))
+        last = None
+        for _ in range(3):
+            last = await read_response(reader)
+            self.assertEqual(last.status, 200)
+        self.assertEqual(last.header_by_name['connection'], 'close')
+        await asyncio.wait_for(drained, 1)
+        writer.close()
+
+    async def test_stop_after_the_head_keeps_the_connection(self):
+        self.server.handler = BegunHandler()
+        reader, writer = await self.connect()
+        writer.write(GOOD)
+        await asyncio.sleep(0.05)
+        until = self.server.clock.now() + 2000
+        drained = asyncio.create_task(self.server.drain(until))
+        first = await read_response(reader)
+        self.assertNotIn('connection', first.header_by_name)
+        # The client was not told of the close, so it goes on.
+        writer.write(GOOD)
+        second = await read_response(reader)
+        self.assertEqual(second.header_by_name['connection'], 'close')
+        await asyncio.wait_for(drained, 1)
+        writer.close()
+
     async def test_a_client_disconnect_reaches_the_handler(self):
         disconnected = asyncio.Event()
 
--- a/verbenathread/directory/service.py
+++ b/verbenathread/directory/service.py
@@ -40,7 +40,7 @@
 # request is refused polls all directory processes and takes CPU time from the
 # voters. Must stay below 600 ms, after which a gateway treats a process as
 # unresponsive.
-_LEADER_TIMEOUT: Millis = 400
+LEADER_TIMEOUT: Millis = 400
 
 
 class DirectoryService(DirectoryBase):
@@ -96,7 +96,7 @@
         request = await stream.recv_message()
         if request is None:
             return
-        await self._replica.wait_leader(_LEADER_TIMEOUT)
+        await self._replica.wait_leader(LEADER_TIMEOUT)
         try:
             await self._barrier.wait()
         except UnavailableError:
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -28,7 +28,7 @@
 _DEFAULT_INTERVAL: Millis = 500
 # A VM that is down or partitioned never accepts a connection.
 _CONNECT_TIMEOUT: Millis = 400
-_FIRST_UPDATE_TIMEOUT: Millis = 600
+FIRST_UPDATE_TIMEOUT: Millis = 600
 # The first update of a process that another one names as the leader may take
 # longer: a new leader is found by all gateways at the same time.
 _LEADER_UPDATE_TIMEOUT: Millis = 2000
@@ -118,7 +118,7 @@
         ``is_named`` tells that another process named it as the leader.
         """
         channel = PeerChannel(address.host, address.port)
-        timeout = _FIRST_UPDATE_TIMEOUT * (1 + self._timeouts)
+        timeout = FIRST_UPDATE_TIMEOUT * (1 + self._timeouts)
         if is_named:
             timeout = max(timeout, _LEADER_UPDATE_TIMEOUT)
         try:
--- a/verbenathread/http1/response.py
+++ b/verbenathread/http1/response.py
@@ -47,6 +47,8 @@
         self.status = 0
         self.started = False
         self.done = False
+        # The head says that the connection closes after this response.
+        self.announced_close = False
         self.is_disconnected = False
         self.on_disconnect: Callable[[], None] | None = None
         # Called with True when the write buffer is full and with False once it
@@ -128,7 +130,8 @@
         return self.done or self.is_disconnected or self._transport.is_closing()
 
     def _connection_header(self) -> bytes:
-        return _CLOSE if self._owner.closes_after_response() else b''
+        self.announced_close = self._owner.closes_after_response()
+        return _CLOSE if self.announced_close else b''
 
     def _mark_done(self) -> None:
         self.done = True
--- a/verbenathread/http1/server.py
+++ b/verbenathread/http1/server.py
@@ -20,6 +20,9 @@
 _SWEEP_INTERVAL: Millis = 500
 # How often a draining server closes connections that became idle.
 _DRAIN_CHECK_INTERVAL: Millis = 50
+# A draining server closes a connection after this time without a request: one
+# that was just accepted may have sent its first request already.
+_DRAIN_IDLE: Millis = 300
 # Length of the kernel's accept queue.
 _BACKLOG = 1024
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -98,14 +101,15 @@
     async def drain(self, deadline: Millis) -> None:
         """Stop accepting requests; wait for all responses until ``deadline``.
 
-        Idle connections are closed first. A request that arrives during the
-        close is never read, so its caller can safely send it elsewhere.
+        Idle connections are closed after a moment. A request that arrives
+        during the close is never read, so its caller can safely send it
+        elsewhere.
         """
         self.stopping = True
         self.stop_listening()
         while self.connections and self.clock.now() < deadline:
             for connection in tuple(self.connections):
-                if not connection.is_busy():
+                if connection.is_idle(_DRAIN_IDLE):
                     connection.close()
             await asyncio.sleep(seconds(_DRAIN_CHECK_INTERVAL))
 
@@ -274,6 +278,11 @@
             or self._partial.started_at > 0
         )
 
+    def is_idle(self, duration: Millis) -> bool:
+        """Return whether there was no request for ``duration`` ms."""
+        idle = self._server.clock.now() - self._last_active
+        return not self.is_busy() and idle >= duration
+
     def check_timeouts(self, now: Millis) -> None:
         """Close the connection if it is idle or slow for too long."""
         if self._response is not None or self._queue or self._closing:
@@ -294,15 +303,19 @@
 
     def closes_after_response(self) -> bool:
         """Return whether the connection closes after this response."""
-        return (
-            self._server.stopping or self._error is not None and not self._queue
-        )
+        if self._queue:
+            # Requests that were read are answered before the close.
+            return False
+        return self._server.stopping or self._error is not None
 
     def response_done(self, response: ResponseWriter) -> None:
         """Continue with the next queued request."""
-        if self.closes_after_response():
+        must_close = self._error is not None and not self._queue
+        if must_close or response.announced_close:
             self.close()
             return
+        # While stopping, a client that was not told of the close may have sent
+        # its next request already.
         self._response = None
         self._last_active = self._server.clock.now()
         if self._queue:
