--- a/tests/test_gateway_endless_bytes.py
+++ b/tests/test_gateway_endless_bytes.py
@@ -177,7 +177,9 @@
                 await self.check(service, path, begin, body_part, other)
 
     async def test_endless_answer_to_a_probe(self):
-        for answer in (HEAD + header(1) * 40, HEAD + b'\r\n' + FILLER * 40):
+        endless_head = HEAD + header(1) * 40
+        endless_body = HEAD + b'\r\n' + FILLER * 40
+        for answer in (endless_head, endless_body):
             await self.serve('desk', stream_events)
             self.harness.workers[0].probe_response = answer
             context = self.harness.context
--- a/tools/fleet_replay/replay.py
+++ b/tools/fleet_replay/replay.py
@@ -4,6 +4,7 @@
 late, and waits or refuses as the running gateway does. There is no network.
 """
 
+import functools
 import heapq
 import itertools
 import math
@@ -170,10 +171,7 @@
             lambda fleet, now: fleet.record_send(worker_id, ENGINE, send, now),
         )
         part_count = 1 + len(placement.parts)
-
-        def record_end(fleet: FleetLoad, now: Millis) -> None:
-            fleet.record_end(worker_id, send.send_id, now)
-
+        record_end = functools.partial(_record_end, worker_id, send.send_id)
         generation = Generation(
             call, part_count, lambda: self._notify(gateway, record_end)
         )
@@ -283,6 +281,12 @@
     )
 
 
+def _record_end(
+    worker_id: str, send_id: str, fleet: FleetLoad, now: Millis
+) -> None:
+    fleet.record_end(worker_id, send_id, now)
+
+
 def _data_centre(number: int) -> str:
     return f'z{number % _DATA_CENTRES}'
 
