Log the shared parts of a prompt, and whether a worker died

Change: each line about a send names the parts that the prompt may share with others. After a generation breaks, the gateway tries to connect once per incarnation; a refusal proves that the worker listens no more. No decision uses either yet.

--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,34 @@
+"""Headers of the platform, decoded."""
+
+import unittest
+
+from verbenathread.http1.messages import Request
+from verbenathread.platform.headers import PlatformDialect
+
+
+class SharedPartsTest(unittest.TestCase):
+    def test_values(self):
+        # value, ids of the parts that others may share
+        cases = (
+            (b'', ()),
+            (b'5c1e:800', ()),
+            (b'5c1e:800,91bd:410', ('5c1e',)),
+            (b'5C1E:800, 91bd:410,e4:250', ('5c1e', '91bd')),
+            (b':800,91bd,e4:250', ('91bd',)),
+            (b'%b:1,91bd:2,e4:3' % (b'f' * 33), ('91bd',)),
+            (b'5c1e:1,' * 40, ('5c1e',) * 32),
+        )
+        dialect = PlatformDialect()
+        for text, expected in cases:
+            with self.subTest(text=text):
+                headers = (
+                    (b'host', b'desk.example'),
+                    (b'attempt-id', b'a1'),
+                    (b'token-usage', b'100,50'),
+                    (b'prompt-prefix', text),
+                )
+                request = Request(
+                    b'POST', b'/note/1', headers, dict(headers), b'', 0
+                )
+                parsed = dialect.parse_request(request)
+                self.assertEqual(parsed.prompt.shared_parts, expected)
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -4,6 +4,7 @@
 
 from verbenathread.clock import Clock
 from verbenathread.gateway.admission_queue import AdmissionQueue
+from verbenathread.gateway.death_check import DeathCheck
 from verbenathread.gateway.metrics import GatewayMetrics
 from verbenathread.gateway.notices import GatewayNotices
 from verbenathread.gateway.pool import ConnectionPool
@@ -50,6 +51,7 @@
     metrics: GatewayMetrics
     signals: WorkerSignals
     send_tracker: SendTracker
+    death_check: DeathCheck
     # Largest plain answer that is held until it is complete, and largest event.
     max_held_bytes: int
 
@@ -106,5 +108,6 @@
         metrics=GatewayMetrics(),
         signals=signals,
         send_tracker=send_tracker,
+        death_check=DeathCheck(pool),
         max_held_bytes=section.answer_buffer_bytes,
     )
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -225,6 +225,8 @@
         if result.verdict in {Verdict.COMPLETE, Verdict.NOT_RUN}:
             context.pool.release(selection.worker, connection)
         self._record_send_end(selection, attempt, result, started)
+        if result.verdict is Verdict.BROKEN and caller.prompt is not None:
+            context.death_check.begin(selection.worker)
         return result
 
     def _record_first_event(
@@ -431,6 +433,7 @@
             pause=attempt.longest_pause,
             took=now - started,
             tokens=0 if prompt is None else prompt.tokens,
+            shared_parts=() if prompt is None else prompt.shared_parts,
             written=self._relay.written_bytes,
         )
 
--- a/verbenathread/gateway/pool.py
+++ b/verbenathread/gateway/pool.py
@@ -38,12 +38,12 @@
             if connection.is_reusable(now):
                 return connection
             connection.close()
-        return await connect(
-            worker.address,
-            self._clock,
-            min(time_left, _CONNECT_TIMEOUT),
-            self._limits,
-        )
+        return await self._open(worker, time_left)
+
+    async def open_idle(self, worker: Worker) -> None:
+        """Open a connection and keep it; raises OSError or TimeoutError."""
+        connection = await self._open(worker, _CONNECT_TIMEOUT)
+        self.release(worker, connection)
 
     def release(self, worker: Worker, connection: ClientConnection) -> None:
         """Keep a connection that can be reused, else close it."""
@@ -79,6 +79,16 @@
         for worker_id in tuple(self._idle_by_id):
             self._close(worker_id)
 
+    async def _open(
+        self, worker: Worker, time_left: Millis
+    ) -> ClientConnection:
+        return await connect(
+            worker.address,
+            self._clock,
+            min(time_left, _CONNECT_TIMEOUT),
+            self._limits,
+        )
+
     def _close(self, worker_id: str) -> None:
         for connection in self._idle_by_id.pop(worker_id):
             connection.close()
--- a/verbenathread/platform/headers.py
+++ b/verbenathread/platform/headers.py
@@ -42,6 +42,8 @@
 # Holds the prompt tokens and the output token limit, not actual usage.
 _TOKEN_USAGE: Final = b'token-usage'
 _LENGTH_HINT: Final = b'length-hint'
+# Parts of the prompt as ID:TOKENS; the last one is the request's own.
+_PROMPT_PARTS: Final = b'prompt-prefix'
 _RESPONSE_STAMP: Final = b'response-stamp'
 _FAULTY_WORKER: Final = b'at-server'
 _NOT_RUN: Final = b'not-executed'
@@ -58,6 +60,10 @@
 _MS_PER_SECOND: Final = 1000
 # Bytes of a malformed value that are logged.
 _MAX_LOGGED: Final = 64
+# Longer ids and further parts are ignored; a notice of all parts has to fit
+# into a datagram.
+_MAX_PART_ID: Final = 32
+_MAX_SHARED_PARTS: Final = 32
 # Not forwarded from the caller; the gateway writes its own values.
 _GATEWAY_HEADERS: Final = frozenset(
     (
@@ -246,10 +252,24 @@
     max_output = int(output_limit)
     expected = _parse_number(values.get(_LENGTH_HINT))
     return Prompt(
-        int(tokens), max_output, max_output if expected is None else expected
+        int(tokens),
+        max_output,
+        max_output if expected is None else expected,
+        _parse_shared_parts(values.get(_PROMPT_PARTS, b'')),
     )
 
 
+def _parse_shared_parts(text: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts but the last one."""
+    parts: list[str] = []
+    entries = text.split(b',')
+    for entry in entries[: min(_MAX_SHARED_PARTS, len(entries) - 1)]:
+        part = entry.partition(b':')[0].strip().lower()
+        if part and len(part) <= _MAX_PART_ID:
+            parts.append(part.decode('latin-1'))
+    return tuple(parts)
+
+
 def _encode_helpers(context: ForwardContext) -> bytes:
     parts = []
     for helper in context.helpers:
--- a/verbenathread/serving/types.py
+++ b/verbenathread/serving/types.py
@@ -137,3 +137,6 @@
     max_output: int
     # Output that the caller expects; ``max_output`` if it states none.
     expected_output: int
+    # Ids of the parts that other prompts may share, in order; the part of the
+    # prompt's own is left out.
+    shared_parts: tuple[str, ...] = ()
