--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -25,6 +25,7 @@
 from verbenathread.types import Address, Peer
 
 API_KEY = 'k-night'
+_ALONE = Peer('g1', Address('127.0.0.1', 0))
 ENGINE = EngineModel(
     slots=8,
     memory_tokens=232_000,
@@ -103,8 +104,8 @@
 class GatewayHarness:
     """A gateway and its workers."""
 
-    def __init__(self) -> None:
-        """Create the gateway; :meth:`start` starts it."""
+    def __init__(self, peer: Peer = _ALONE) -> None:
+        """Create the gateway ``peer``; :meth:`start` starts it."""
         clock = SystemClock()
         section = settings_pb2.GatewaySection(
             retry_share=0.2,
@@ -114,7 +115,6 @@
             answer_head_bytes=20_000,
             answer_buffer_bytes=50_000,
         )
-        peer = Peer('g1', Address('127.0.0.1', 0))
         self.context = build_context(
             section, 'a', peer, PlatformDialect(), clock
         )
