--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -187,3 +187,30 @@
         share_before = sum(before) / len(before)
         share_after = sum(after) / len(after)
         self.assertGreaterEqual(share_after, MIN_SOUND_SHARE * share_before)
+
+
+class RefusalTest(IsolatedAsyncioTestCase):
+    async def test_a_quarantined_prompt_is_not_sent(self):
+        fleet = GatewayFleet(1, 2, Behaviour(CRASHING))
+        await fleet.start()
+        gateway = fleet.gateways[0]
+        gateway.context.quarantine.apply_list([frozenset((CRASHING,))])
+        # Prompt-Prefix, status
+        cases = (
+            (f'a1:40,{CRASHING}:30,c1:30', 503),
+            # The last part is the request's own.
+            (f'a1:40,{CRASHING}:30', 200),
+            ('a1:40,c1:30', 200),
+        )
+        for prefix, status in cases:
+            with self.subTest(prefix):
+                response = await gateway.send(
+                    '/note/1', headers=f'Prompt-Prefix: {prefix}\r\n'
+                )
+                self.assertEqual(response.status, status)
+                if status == 503:
+                    retry_after = float(response.header_by_name['retry-after'])
+                    self.assertGreater(retry_after, 600)
+        sends = sum(len(standin.requests) for standin in fleet.standins)
+        self.assertEqual(sends, 2)
+        await fleet.stop()
--- /dev/null
+++ b/tests/test_serving_crash_evidence.py
@@ -0,0 +1,125 @@
+"""Which parts of prompts are found from crashes and complete answers."""
+
+import unittest
+from typing import NamedTuple
+
+from verbenathread.serving.crash_evidence import Crash, CrashEvidence
+
+
+class Step(NamedTuple):
+    """A crash of a worker, or a complete answer if no worker is named."""
+
+    at: int
+    parts: str
+    worker: str = ''
+
+
+def crashes(count, parts, interval=500, first=0, prefix='w'):
+    """Return crashes of different workers under the same parts."""
+    moments = range(first, first + count * interval, interval)
+    return tuple(Step(at, parts, f'{prefix}{at}') for at in moments)
+
+
+# name, steps, the groups that are found in turn
+CASES = (
+    ('the fourth crash', crashes(3, 'b'), ()),
+    ('four crashes', crashes(4, 'b'), ('b',)),
+    ('the same worker', (Step(0, 'b', 'w'),) * 6, ()),
+    ('all at one moment', crashes(8, 'b', interval=5), ()),
+    ('within minutes', crashes(4, 'b', interval=120_000), ('b',)),
+    ('too long ago', crashes(4, 'b', interval=400_000), ()),
+    (
+        'a part that is completed in between',
+        (*crashes(3, 'a'), Step(1200, 'a'), *crashes(3, 'a', first=1500)),
+        (),
+    ),
+    (
+        'the part that is not completed',
+        (*crashes(3, 'a b'), Step(1200, 'a'), Step(1500, 'a b', 'w9')),
+        ('b',),
+    ),
+    ('parts that always come together', crashes(4, 'a b'), ('a b',)),
+    (
+        'the one part of several prompts',
+        (*crashes(2, 'a b'), *crashes(2, 'c b', first=1000, prefix='v')),
+        ('b',),
+    ),
+    (
+        'a group that a complete answer tells apart',
+        (
+            *crashes(4, 'a b'),
+            Step(2100, 'a'),
+            *crashes(2, 'c b', first=2200, prefix='v'),
+        ),
+        ('a b', 'b'),
+    ),
+    (
+        'sound prompts at workers that crash under others',
+        (
+            *crashes(4, 'b'),
+            *crashes(3, 's'),
+        ),
+        ('b',),
+    ),
+    (
+        'two parts of different prompts at the same workers',
+        (*crashes(4, 'b'), *crashes(4, 's'), Step(2000, 'b', 'w9')),
+        ('b',),
+    ),
+    (
+        'prompts without shared parts',
+        crashes(6, ''),
+        (),
+    ),
+)
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    def test_found_groups(self):
+        for name, steps, expected in CASES:
+            with self.subTest(name):
+                self.assertEqual(
+                    play(steps),
+                    [frozenset(group.split()) for group in expected],
+                )
+
+    def test_a_found_group_explains_its_crashes(self):
+        evidence = CrashEvidence()
+        group = frozenset(('b',))
+        for number in range(6):
+            crash = Crash((f'w{number}', 1), number * 500, frozenset(('b',)))
+            evidence.record_crash(crash, [group])
+            sound = Crash((f'w{number}', 1), number * 500, frozenset(('s',)))
+            evidence.record_crash(sound, [group])
+        self.assertIsNone(evidence.find(3000, [group]))
+
+    def test_memory_is_bounded(self):
+        evidence = CrashEvidence()
+        for number in range(20_000):
+            parts = frozenset((f'p{number}',))
+            evidence.record_completion(parts, number)
+            evidence.record_crash(Crash((f'w{number}', 1), number, parts), [])
+        self.assertLessEqual(len(evidence._completed_at_by_part), 4096)
+        self.assertLessEqual(len(evidence._crashes), 256)
+
+
+def play(steps):
+    """Apply the steps in order of time; return what is found in turn."""
+    evidence = CrashEvidence()
+    found = []
+    ordered = sorted(steps, key=lambda step: step.at)
+    for number, step in enumerate(ordered):
+        parts = frozenset(step.parts.split())
+        if step.worker:
+            crash = Crash((step.worker, 1), step.at, parts)
+            evidence.record_crash(crash, found)
+        else:
+            evidence.record_completion(parts, step.at)
+        following = ordered[number + 1 : number + 2]
+        if following and following[0].at - step.at < 50:
+            # Crashes are judged once all sends that they ended are known.
+            continue
+        group = evidence.find(step.at + 50, found)
+        if group is not None:
+            found.append(group)
+    return found
--- a/verbenathread/directory/daemon.py
+++ b/verbenathread/directory/daemon.py
@@ -99,6 +99,7 @@
             self._service.run,
             membership.run,
             self.calls.watch_heartbeats,
+            self._service.quarantine.run,
             self._join,
             self._refresh,
         )
--- a/verbenathread/directory/machine.py
+++ b/verbenathread/directory/machine.py
@@ -1,6 +1,7 @@
-"""State machine of the directory: one configuration and the workers."""
+"""State machine of the directory: configuration, workers, quarantine."""
 
 from verbenathread.schema import directory_pb2 as messages
+from verbenathread.serving.crash_evidence import MAX_GROUPS, PartGroup
 from verbenathread.serving.registry import WorkerRegistry
 from verbenathread.serving.types import Worker, WorkerState
 from verbenathread.types import Address
@@ -16,6 +17,8 @@
         self.registry = WorkerRegistry()
         # Local counter, incremented on every change to the registry.
         self.registry_changes = 0
+        # Parts of prompts that are kept from workers, the oldest group first.
+        self.quarantine: tuple[PartGroup, ...] = ()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command; the result is always empty."""
@@ -30,6 +33,8 @@
             drop = decoded.drop_worker
             self.registry.drop(drop.worker_id, drop.born)
             self.registry_changes += 1
+        else:
+            self._change_quarantine(decoded)
         return b''
 
     def snapshot(self) -> bytes:
@@ -41,6 +46,7 @@
         )
         for worker in self.registry.worker_by_id.values():
             image.workers.append(encode_worker(worker))
+        image.quarantine.extend(map(encode_group, self.quarantine))
         return image.SerializeToString()
 
     def restore(self, image: bytes) -> None:
@@ -52,6 +58,17 @@
         for entry in decoded.workers:
             self.registry.merge(decode_worker(entry))
         self.registry_changes += 1
+        self.quarantine = tuple(map(decode_group, decoded.quarantine))
+
+    def _change_quarantine(self, command: messages.DirectoryCommand) -> None:
+        dropped = decode_group(command.drop_quarantine)
+        group = decode_group(command.put_quarantine)
+        if dropped:
+            self.quarantine = tuple(
+                known for known in self.quarantine if known != dropped
+            )
+        elif group and group not in self.quarantine:
+            self.quarantine = (*self.quarantine, group)[-MAX_GROUPS:]
 
     def _put_config(self, put: messages.PutConfig) -> None:
         # If two bodies share a version, the first one wins.
@@ -60,6 +77,16 @@
             self.config_body = put.body
 
 
+def decode_group(message: messages.PartGroup) -> PartGroup:
+    """Build a group of parts from its message."""
+    return frozenset(message.parts)
+
+
+def encode_group(group: PartGroup) -> messages.PartGroup:
+    """Build the message for a group of parts."""
+    return messages.PartGroup(parts=sorted(group))
+
+
 def decode_worker(entry: messages.WorkerEntry) -> Worker:
     """Build a worker from its message."""
     return Worker(
--- a/verbenathread/directory/service.py
+++ b/verbenathread/directory/service.py
@@ -10,8 +10,9 @@
 from verbenathread.clock import Clock, seconds
 from verbenathread.consensus.replica import Replica
 from verbenathread.consensus.waiting import Signal
-from verbenathread.directory.machine import DirectoryMachine
+from verbenathread.directory.machine import DirectoryMachine, decode_group
 from verbenathread.directory.membership import MembershipManager
+from verbenathread.directory.quarantine import QuarantineKeeper
 from verbenathread.directory.shared_barrier import SharedBarrier
 from verbenathread.directory.updates import (
     SentState,
@@ -44,7 +45,7 @@
 
 
 class DirectoryService(DirectoryBase):
-    """Implements the ``Watch`` and ``Join`` calls."""
+    """Implements the calls of gateways and of joining processes."""
 
     def __init__(
         self,
@@ -58,6 +59,7 @@
         self._machine = machine
         self._membership = membership
         self._clock = clock
+        self.quarantine = QuarantineKeeper(replica, machine, clock)
         self._changed = Signal(clock)
         self._updates = UpdateSource(machine)
         self._barrier = SharedBarrier(
@@ -68,6 +70,7 @@
         """Wake the watch streams after each change."""
         applied = 0
         config_version = 0
+        quarantine = self._machine.quarantine
         while True:
             try:
                 applied = await self._replica.wait_applied(
@@ -76,8 +79,10 @@
             except UnavailableError:
                 await asyncio.sleep(seconds(_CHECK_INTERVAL))
             has_changes = self._updates.refresh(self.directory_peers())
-            if has_changes or config_version != self._machine.config_version:
-                config_version = self._machine.config_version
+            known = (config_version, quarantine)
+            config_version = self._machine.config_version
+            quarantine = self._machine.quarantine
+            if has_changes or known != (config_version, quarantine):
                 self._changed.notify_all()
 
     def gateway_count(self) -> int:
@@ -131,6 +136,16 @@
             reply.directory.append(encode_peer(peer))
         await stream.send_message(reply)
 
+    async def Quarantine(  # noqa: N802  the generated base sets the name
+        self, stream: Stream[messages.PartGroup, messages.QuarantineReply]
+    ) -> None:
+        """Keep prompts with a group of parts from workers."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        done = await self.quarantine.add(decode_group(request))
+        await stream.send_message(messages.QuarantineReply(done=done))
+
     def _remove_gateway(self, gateway: messages.NodeAddress) -> None:
         _log.info('Gateway watch ended.', gateway=gateway.node_id)
         self._updates.remove_gateway(gateway)
--- a/verbenathread/directory/updates.py
+++ b/verbenathread/directory/updates.py
@@ -8,8 +8,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from verbenathread.directory.machine import DirectoryMachine, encode_worker
+from verbenathread.directory.machine import (
+    DirectoryMachine,
+    encode_group,
+    encode_worker,
+)
 from verbenathread.schema import directory_pb2 as messages
+from verbenathread.serving.crash_evidence import PartGroup
 from verbenathread.serving.types import Worker
 from verbenathread.types import Millis, NodeId, Peer
 
@@ -28,6 +33,7 @@
     config_version: int
     workers: int = -1
     nodes: int = -1
+    quarantine: tuple[PartGroup, ...] | None = None
     # The gateway applies lists of changed workers.
     accepts_changes: bool = False
 
@@ -87,7 +93,10 @@
 
     def has_changes(self, sent: SentState) -> bool:
         """Return whether a gateway should receive an update at once."""
-        if self._machine.config_version > sent.config_version:
+        machine = self._machine
+        if machine.config_version > sent.config_version:
+            return True
+        if machine.quarantine != sent.quarantine:
             return True
         return self._workers_version != sent.workers
 
@@ -102,10 +111,16 @@
             self._add_workers(update, sent)
         if self._nodes_version != sent.nodes:
             update.fleet.CopyFrom(self._list_fleet())
+        if machine.quarantine != sent.quarantine:
+            update.quarantine.SetInParent()
+            update.quarantine.groups.extend(
+                map(encode_group, machine.quarantine)
+            )
         return update, sent._replace(
             config_version=max(machine.config_version, sent.config_version),
             workers=self._workers_version,
             nodes=self._nodes_version,
+            quarantine=machine.quarantine,
         )
 
     def _refresh_workers(self) -> bool:
--- a/verbenathread/gateway/attempt.py
+++ b/verbenathread/gateway/attempt.py
@@ -44,6 +44,8 @@
     head: ResponseHead | None = None
     # Empty for a stream, whose events were relayed as they arrived.
     body: bytes = b''
+    # The body ended with the connection, which a crash also ends.
+    ended_by_close: bool = False
 
 
 class Relay:
@@ -135,6 +137,11 @@
         self.on_response: Callable[[WorkerResponse], None] | None = None
         self.longest_pause: Millis = 0
 
+    @property
+    def written_bytes(self) -> int:
+        """Return the bytes that the caller has, from all attempts."""
+        return self._relay.written_bytes
+
     async def run(
         self, request: bytes, deadline: Millis, probe: Probe
     ) -> Result:
@@ -230,7 +237,9 @@
         if self._is_stream and self._relay.events.has_partial_event:
             verdict = Verdict.BROKEN
         body = b''.join(self._body)
-        self._result.set_result(Result(verdict, self._head, body))
+        self._result.set_result(
+            Result(verdict, self._head, body, self._connection.is_until_close)
+        )
 
     def _relay_events(self, head: ResponseHead, content: bytes) -> None:
         now = self._clock.now()
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -1,14 +1,17 @@
 """The components that all requests of a gateway share."""
 
+from random import Random
 from typing import NamedTuple
 
 from verbenathread.clock import Clock
 from verbenathread.gateway.admission_queue import AdmissionQueue
+from verbenathread.gateway.crash_reports import CrashReports
 from verbenathread.gateway.death_check import DeathCheck
 from verbenathread.gateway.metrics import GatewayMetrics
 from verbenathread.gateway.notices import GatewayNotices
 from verbenathread.gateway.pool import ConnectionPool
 from verbenathread.gateway.probing import LoadProber
+from verbenathread.gateway.prompt_quarantine import PromptQuarantine
 from verbenathread.gateway.reservations import ReservationManager
 from verbenathread.gateway.send_tracker import SendTracker
 from verbenathread.gateway.view import ClusterView
@@ -51,7 +54,8 @@
     metrics: GatewayMetrics
     signals: WorkerSignals
     send_tracker: SendTracker
-    death_check: DeathCheck
+    quarantine: PromptQuarantine
+    crash_reports: CrashReports
     # Largest plain answer that is held until it is complete, and largest event.
     max_held_bytes: int
 
@@ -76,8 +80,9 @@
     )
     outliers = OutlierTracker()
     send_tracker = SendTracker(view)
+    quarantine = PromptQuarantine(clock, Random())
     notices = GatewayNotices(
-        me, view, fleet, outliers, clock, send_tracker.suspect
+        me, view, fleet, outliers, quarantine, clock, send_tracker.suspect
     )
     signals.on_leaving = notices.announce_leaving
     return GatewayContext(
@@ -108,6 +113,7 @@
         metrics=GatewayMetrics(),
         signals=signals,
         send_tracker=send_tracker,
-        death_check=DeathCheck(pool),
+        quarantine=quarantine,
+        crash_reports=CrashReports(DeathCheck(pool), quarantine, notices),
         max_held_bytes=section.answer_buffer_bytes,
     )
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -8,6 +8,7 @@
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.gateway.context import build_context
 from verbenathread.gateway.handler import GatewayHandler
+from verbenathread.gateway.quarantine_reports import QuarantineReports
 from verbenathread.gateway.watch import DirectoryWatch
 from verbenathread.http1.server import HttpServer, Limits
 from verbenathread.observability.logs import get_logger
@@ -49,7 +50,15 @@
         )
         self.view = self.context.view
         self._watch = DirectoryWatch(
-            self.view, self._seeds, peer, read_config, self._clock
+            self.view,
+            self.context.quarantine,
+            self._seeds,
+            peer,
+            read_config,
+            self._clock,
+        )
+        self._quarantine_reports = QuarantineReports(
+            self.context.quarantine, self.view
         )
         self.server = HttpServer(GatewayHandler(self.context), self._clock)
         status = StatusHandler(
@@ -72,6 +81,7 @@
         await self.server.start(parse_address(self._section.listen))
         for background_task in (
             self._watch.run,
+            self._quarantine_reports.run,
             self._maintain,
             self.context.prober.run,
         ):
@@ -135,6 +145,7 @@
             self.context.pool.close_expired()
             self.context.signals.hold_offs.drop_expired(self._clock.now())
             self.context.fleet.drop_expired(self._clock.now())
+            self.context.quarantine.drop_expired()
             self.context.metrics.waiting.set(len(self.context.queue))
             self.view.expire_unlisted(self._clock.now())
             self.context.retry_budget.gateway_count = max(
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import functools
-from typing import NamedTuple
 
 from verbenathread.gateway.attempt import (
     Attempt,
@@ -13,6 +12,7 @@
 )
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.liveness import probe_stalled_worker
+from verbenathread.gateway.request_log import RequestLog, RoutedRequest
 from verbenathread.gateway.selection import (
     Refusal,
     Selection,
@@ -21,13 +21,11 @@
 )
 from verbenathread.gateway.stall_watch import StallTimeouts
 from verbenathread.http1.client import ClientConnection
-from verbenathread.http1.messages import Request, ResponseHead, encode_request
+from verbenathread.http1.messages import ResponseHead, encode_request
 from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
-from verbenathread.observability.metrics import length_label
-from verbenathread.serving.dialect import CallerRequest, ForwardContext
-from verbenathread.serving.routes import RouteMatch
-from verbenathread.serving.types import RequestKind, ServiceSpec, Worker
+from verbenathread.serving.dialect import ForwardContext
+from verbenathread.serving.types import RequestKind, Worker
 from verbenathread.types import Millis
 
 _log = get_logger('gateway')
@@ -36,6 +34,7 @@
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
 _SERVER_FAULT = 500
+_FIRST_FAILURE = 300
 # Failures to connect to a worker or to reserve memory after which the request
 # fails.
 _MAX_CONNECT_FAILURES = 4
@@ -56,17 +55,6 @@
 _SHORT_RETRY_AFTER: Millis = 150
 
 
-class RoutedRequest(NamedTuple):
-    """A request with its route and service."""
-
-    request: Request
-    caller: CallerRequest
-    match: RouteMatch
-    service: ServiceSpec
-    # The earlier of the caller's deadline and the route's time limit.
-    deadline: Millis
-
-
 class Exchange:
     """Serves one request until the caller has a response."""
 
@@ -91,7 +79,7 @@
         self._may_have_run = False
         # A worker's error response, kept while another worker is tried.
         self._failure: Result | None = None
-        self._refusal: Refusal | None = None
+        self._log = RequestLog(context, routed)
         reply.on_disconnect = self._on_disconnect
         reply.on_backpressure = self._on_backpressure
 
@@ -102,14 +90,16 @@
             if left <= 0:
                 self._fail(_TIMED_OUT, 'out of time', None)
                 return
+            if self._is_quarantined():
+                return
             selected = await self._selector.select(left)
             if isinstance(selected, Refusal):
-                self._refusal = selected
+                self._log.refusal = selected
                 self._fail(_UNAVAILABLE, selected.reason, selected.retry_after)
                 return
             await self._reserve_and_send(selected)
         if self._reply.is_disconnected and not self._reply.done:
-            self._record_outcome('abandoned', '')
+            self._log.record_outcome('abandoned', '')
 
     async def _reserve_and_send(self, selection: Selection) -> None:
         """Send to the selected worker, reserving memory first if needed."""
@@ -134,9 +124,14 @@
         record = self._selector.record_send(selection)
         with contextlib.ExitStack() as stack:
             stack.callback(self._selector.record_end, selection, record)
-            await self._connect_and_send(selection)
-
-    async def _connect_and_send(self, selection: Selection) -> None:
+            result = await self._connect_and_send(selection)
+            self._selector.is_answered = self._is_whole_stream(result)
+        if result is not None:
+            await self._report_crash(selection.worker, result)
+            self._handle_result(selection.worker, result)
+
+    async def _connect_and_send(self, selection: Selection) -> Result | None:
+        """Send to the selected worker; return None if nothing was sent."""
         connection = await self._connect(selection.worker)
         if connection is None:
             self._selector.exclude(selection.worker)
@@ -146,22 +141,55 @@
                     'no worker accepts connections',
                     _SHORT_RETRY_AFTER,
                 )
-            return
-        if self._reply.is_disconnected or not self._selector.is_available(
-            selection
-        ):
-            # The caller left, or a worker said meanwhile that it leaves or
-            # refused another request.
+            return None
+        if not self._may_send_now(selection):
             self._context.pool.release(selection.worker, connection)
-            return
+            return None
+        return await self._send(selection, connection)
+
+    def _may_send_now(self, selection: Selection) -> bool:
+        """Return whether to send, after the time that connecting took."""
+        if self._reply.is_disconnected or self._is_quarantined():
+            return False
+        if not self._selector.is_available(selection):
+            # A worker said meanwhile that it leaves or refused another request.
+            return False
         if self._sends and not self._try_acquire_retry():
-            self._context.pool.release(selection.worker, connection)
             self._fail(
                 _UNAVAILABLE, 'the retry budget is used up', _MS_PER_SECOND
             )
-            return
-        result = await self._send(selection, connection)
-        self._handle_result(selection.worker, result)
+            return False
+        return True
+
+    def _is_quarantined(self) -> bool:
+        """Fail the request if a part of its prompt crashes workers."""
+        retry_after = self._context.quarantine.retry_after(
+            self._routed.caller.prompt
+        )
+        if retry_after is None:
+            return False
+        self._fail(
+            _UNAVAILABLE, 'a part of the prompt crashes workers', retry_after
+        )
+        return True
+
+    def _is_whole_stream(self, result: Result | None) -> bool:
+        """Return whether a worker certainly survived a whole answer."""
+        if result is None or result.head is None or result.ended_by_close:
+            return False
+        return (
+            result.verdict is Verdict.COMPLETE
+            and result.head.status < _FIRST_FAILURE
+            and self._is_stream()
+        )
+
+    async def _report_crash(self, worker: Worker, result: Result) -> None:
+        reports = self._context.crash_reports
+        prompt = self._routed.caller.prompt
+        if result.verdict is Verdict.BROKEN:
+            await reports.report(worker, prompt)
+        elif result.verdict is Verdict.COMPLETE and result.ended_by_close:
+            reports.report_close(worker, prompt)
 
     async def _connect(self, worker: Worker) -> ClientConnection | None:
         context = self._context
@@ -204,7 +232,7 @@
         self._sends += 1
         context.outliers.record_sent(selection.worker.worker_id, started)
         attempt.on_first_event = functools.partial(
-            self._record_first_event, selection, started
+            self._selector.record_first_event, selection, started
         )
         attempt.on_response = functools.partial(
             context.signals.observe, selection.worker
@@ -221,20 +249,11 @@
                 ),
             )
         self._attempt = None
-        context.metrics.sends.labels(result.verdict.value).inc()
         if result.verdict in {Verdict.COMPLETE, Verdict.NOT_RUN}:
             context.pool.release(selection.worker, connection)
-        self._record_send_end(selection, attempt, result, started)
-        if result.verdict is Verdict.BROKEN and caller.prompt is not None:
-            context.death_check.begin(selection.worker)
+        self._log.record_send_end(selection, attempt, result, started)
         return result
 
-    def _record_first_event(
-        self, selection: Selection, started: Millis
-    ) -> None:
-        now = self._context.clock.now()
-        self._selector.record_first_event(selection, now - started)
-
     def _encode_request(self, selection: Selection) -> bytes:
         routed = self._routed
         now = self._context.clock.now()
@@ -304,32 +323,32 @@
                 worker.worker_id, context.clock.now()
             )
             self._failure = result
-            if self._may_retry() and not self._has_started():
+            if self._may_retry() and not self._relay.started:
                 self._selector.exclude(worker)
                 return
         else:
             context.outliers.record_success(worker.worker_id)
-        streamed = self._has_started() or self._is_stream()
+        streamed = self._relay.started or self._is_stream()
         if streamed and not result.body and head.status < _SERVER_FAULT:
             self._relay.finish(head)
-            self._record_outcome('served', '')
+            self._log.record_outcome('served', '')
         else:
             self._forward(head, result.body)
 
     def _forward(self, head: ResponseHead, body: bytes) -> None:
         headers = self._context.dialect.caller_headers(head)
-        if self._has_started():
+        if self._relay.started:
             self._reply.abort()
-            self._record_outcome('broken', 'a worker failed midway')
+            self._log.record_outcome('broken', 'a worker failed midway')
             return
         self._reply.send(head.status, headers, body)
         outcome = 'served' if head.status < _SERVER_FAULT else 'failed'
-        self._record_outcome(outcome, f'status {head.status}')
+        self._log.record_outcome(outcome, f'status {head.status}')
 
     def _may_retry(self) -> bool:
         """Return whether a request that may have run can be retried."""
         route = self._routed.match.route
-        if self._has_started() and not self._is_stream():
+        if self._relay.started and not self._is_stream():
             # A part of the answer has been relayed.
             return False
         return route.may_retry() and self._sends < route.max_attempts
@@ -340,9 +359,6 @@
             self._routed.service.name, now
         )
 
-    def _has_started(self) -> bool:
-        return self._relay.started
-
     def _is_stream(self) -> bool:
         return self._routed.match.route.kind is RequestKind.STREAM
 
@@ -350,9 +366,9 @@
         self, status: int, reason: str, retry_after: Millis | None
     ) -> None:
         """Answer with a worker's error response or else the gateway's own."""
-        if self._has_started():
+        if self._relay.started:
             self._reply.abort()
-            self._record_outcome('broken', reason)
+            self._log.record_outcome('broken', reason)
             return
         if self._failure is not None and self._failure.head is not None:
             self._forward(self._failure.head, self._failure.body)
@@ -365,7 +381,7 @@
         )
         self._reply.send(status, headers, f'{reason}\n'.encode())
         outcome = 'refused' if status == _UNAVAILABLE else 'failed'
-        self._record_outcome(outcome, reason, retry_after)
+        self._log.record_outcome(outcome, reason, retry_after)
 
     def _on_disconnect(self) -> None:
         if self._attempt is not None:
@@ -376,67 +392,6 @@
         if self._attempt is not None:
             self._attempt.set_backpressure(paused)
 
-    def _record_outcome(
-        self, outcome: str, reason: str, retry_after: Millis | None = None
-    ) -> None:
-        routed = self._routed
-        self._context.metrics.requests.labels(outcome).inc()
-        if outcome == 'served' and self._sends == 1:
-            return
-        refusal = self._refusal
-        _log.info(
-            'A request ended.',
-            request_id=routed.caller.attempt_id,
-            outcome=outcome,
-            reason=reason,
-            retry_after=retry_after,
-            route=routed.match.route.name,
-            sends=self._sends,
-            took=self._context.clock.now() - routed.request.received_at,
-            config=self._context.view.config_version,
-            view_age=self._context.clock.now() - self._context.view.updated_at,
-            candidates=None if refusal is None else refusal.candidates,
-            free_in=None if refusal is None else refusal.free_in,
-        )
-
-    def _record_send_end(
-        self,
-        selection: Selection,
-        attempt: Attempt,
-        result: Result,
-        started: Millis,
-    ) -> None:
-        """Log a send that ended and measure its times."""
-        now = self._context.clock.now()
-        prompt = self._routed.caller.prompt
-        metrics = self._context.metrics
-        first = attempt.first_event_at
-        if prompt is not None and first is not None:
-            waited = (first - self._routed.request.received_at) / _MS_PER_SECOND
-            metrics.first_event.labels(length_label(prompt.tokens)).observe(
-                waited
-            )
-        elif prompt is None:
-            metrics.answer.observe((now - started) / _MS_PER_SECOND)
-        _log.info(
-            'A send ended.',
-            request_id=self._routed.caller.attempt_id,
-            worker=selection.worker.worker_id,
-            verdict=result.verdict.value,
-            status=None if result.head is None else result.head.status,
-            queued=started - self._routed.request.received_at,
-            forecast=selection.first_event_in,
-            beside=selection.concurrent,
-            parts=1 + len(selection.parts),
-            pace=round(selection.pace, 2),
-            first=None if first is None else first - started,
-            pause=attempt.longest_pause,
-            took=now - started,
-            tokens=0 if prompt is None else prompt.tokens,
-            shared_parts=() if prompt is None else prompt.shared_parts,
-            written=self._relay.written_bytes,
-        )
-
 
 def _stall_timeouts(
     routed: RoutedRequest, selection: Selection, now: Millis
--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -6,7 +6,8 @@
 
 from verbenathread.clock import seconds
 from verbenathread.gateway.context import GatewayContext
-from verbenathread.gateway.exchange import Exchange, RoutedRequest
+from verbenathread.gateway.exchange import Exchange
+from verbenathread.gateway.request_log import RoutedRequest
 from verbenathread.http1.messages import Request
 from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -1,15 +1,16 @@
-"""Datagrams by which gateways notify each other of sends and slow engines.
+"""Datagrams by which gateways notify each other of sends and of workers.
 
 A lost datagram only makes a placement worse, so none is retransmitted.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, cast
 
 from google.protobuf.message import DecodeError
 
 from verbenathread.clock import Clock
+from verbenathread.gateway.prompt_quarantine import PromptQuarantine
 from verbenathread.gateway.view import ClusterView
 from verbenathread.observability.logs import get_logger
 from verbenathread.scheduling.outliers import OutlierTracker
@@ -32,10 +33,11 @@
         view: ClusterView,
         fleet: FleetLoad,
         outliers: OutlierTracker,
+        quarantine: PromptQuarantine,
         clock: Clock,
         on_suspect: Callable[[str], None],
     ) -> None:
-        """Notify the gateways of ``view``; record theirs in ``fleet``.
+        """Notify the gateways of ``view``; record what they tell.
 
         ``on_suspect`` is called with each engine that does not answer.
         """
@@ -44,6 +46,7 @@
         self._view = view
         self._fleet = fleet
         self._outliers = outliers
+        self._quarantine = quarantine
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -81,11 +84,36 @@
             )
         )
 
-    def announce_end(self, worker_id: str, send_id: str) -> None:
-        """Announce the end of a send."""
+    def announce_end(
+        self, worker_id: str, send_id: str, completed_parts: Sequence[str]
+    ) -> None:
+        """Announce the end of a send.
+
+        ``completed_parts`` are the shared parts of its prompt if the answer is
+        complete.
+        """
         self._broadcast_send(
             messages.SendNotice(
-                worker_id=worker_id, send_id=send_id, ended=True
+                worker_id=worker_id,
+                send_id=send_id,
+                ended=True,
+                completed_parts=completed_parts,
+            )
+        )
+
+    def announce_completion(self, completed_parts: Sequence[str]) -> None:
+        """Announce that a send, whose end was announced, was complete."""
+        self.announce_end('', '', completed_parts)
+
+    def announce_crash(self, worker: Worker, parts: Sequence[str]) -> None:
+        """Announce that a worker crashed under a prompt with these parts."""
+        self._broadcast(
+            messages.Notice(
+                crash=messages.CrashNotice(
+                    worker_id=worker.worker_id,
+                    born=worker.started_at,
+                    shared_parts=parts,
+                )
             )
         )
 
@@ -133,10 +161,16 @@
             return
         if notice.HasField('report'):
             self._apply_report(notice.report)
+        elif notice.HasField('crash'):
+            crash = notice.crash
+            self._quarantine.record_crash(
+                crash.worker_id, crash.born, crash.shared_parts
+            )
         elif notice.send.ended:
             self._fleet.record_end(
                 notice.send.worker_id, notice.send.send_id, self._clock.now()
             )
+            self._quarantine.record_completion(notice.send.completed_parts)
         else:
             self._record_send(notice.send)
 
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -85,6 +85,8 @@
         self._route = route
         self._excluded: set[str] = set()
         self._sends = 0
+        # The last send got a whole answer.
+        self.is_answered = False
         self._queued: asyncio.Task[Placement | None] | None = None
         self._due = context.clock.now() + route.target_latency
 
@@ -189,13 +191,13 @@
         context.notices.announce_send(worker_id, send, max(0, self._due - now))
         return SendRecord(send_id, now)
 
-    def record_first_event(self, selection: Selection, actual: Millis) -> None:
-        """Compare the time to the first event with its forecast."""
+    def record_first_event(self, selection: Selection, sent: Millis) -> None:
+        """Compare the time from ``sent`` to the first event with its forecast."""
         if selection.parts or self._service.engine is None:
             return
         load = self._context.fleet.load(selection.worker.worker_id)
         now = self._context.clock.now()
-        load.record_first_event(selection.first_event_in, actual, now)
+        load.record_first_event(selection.first_event_in, now - sent, now)
 
     def record_end(self, selection: Selection, record: SendRecord) -> None:
         """Remove a recorded send and announce its end."""
@@ -208,7 +210,9 @@
             )
             return
         context.fleet.record_end(worker_id, record.send_id, now)
-        context.notices.announce_end(worker_id, record.send_id)
+        parts = self._caller.prompt.shared_parts if self.is_answered else ()
+        context.quarantine.record_completion(parts)
+        context.notices.announce_end(worker_id, record.send_id, parts)
         context.queue.wake()
 
     def _select_plain(self) -> Selection | Refusal:
--- a/verbenathread/gateway/view.py
+++ b/verbenathread/gateway/view.py
@@ -38,6 +38,8 @@
         self._listed_at_by_peer: dict[Peer, Millis] = {}
         # True while a leader with a quorum updates this view.
         self.is_fresh = False
+        # The process that sends the updates; None while there is none.
+        self.leader: Address | None = None
         # Monotonic times of the first and the last update.
         self.first_update_at: Millis | None = None
         self.updated_at: Millis = 0
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -8,9 +8,10 @@
 from grpclib.client import Channel
 
 from verbenathread.clock import Clock, seconds
-from verbenathread.directory.machine import decode_worker
+from verbenathread.directory.machine import decode_group, decode_worker
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.exceptions import SettingsError
+from verbenathread.gateway.prompt_quarantine import PromptQuarantine
 from verbenathread.gateway.view import ClusterView, make_peer
 from verbenathread.observability.logs import get_logger
 from verbenathread.rpc_channel import RPC_ERRORS, PeerChannel
@@ -45,13 +46,15 @@
     def __init__(
         self,
         view: ClusterView,
+        quarantine: PromptQuarantine,
         seeds: SeedFile,
         me: Peer,
         read_config: Callable[[bytes], ServingConfig],
         clock: Clock,
     ) -> None:
-        """Update ``view``; other gateways reach this one at ``me``."""
+        """Update ``view`` and ``quarantine``; other gateways reach this one at ``me``."""
         self._view = view
+        self._quarantine = quarantine
         self._seeds = seeds
         self._me = me
         self._read_config = read_config
@@ -136,6 +139,7 @@
             return None
         finally:
             self._view.is_fresh = False
+            self._view.leader = None
             channel.close()
 
     async def _read(
@@ -165,6 +169,7 @@
                     address=str(address),
                 )
             self._view.record_update(self._clock.now())
+            self._view.leader = address
             self._apply(update)
             self._unresponsive.discard(address)
             self._timeouts = 0
@@ -191,6 +196,11 @@
                 self._clock.now(),
             )
 
+        if update.HasField('quarantine'):
+            self._quarantine.apply_list(
+                decode_group(group) for group in update.quarantine.groups
+            )
+
     def _apply_config(self, body: bytes) -> None:
         try:
             config = self._read_config(zlib.decompress(body))
--- a/verbenathread/http1/client.py
+++ b/verbenathread/http1/client.py
@@ -135,6 +135,11 @@
         """
         return self._exchanges > 1
 
+    @property
+    def is_until_close(self) -> bool:
+        """Return whether the response body ends with the connection."""
+        return self._until_close
+
     def is_reusable(self, now: Millis) -> bool:
         """Return whether another request can be sent."""
         if not self._open or not self._reusable or self._sink is not None:
--- a/verbenathread/schema/directory_grpc.py
+++ b/verbenathread/schema/directory_grpc.py
@@ -22,6 +22,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[verbenathread.schema.directory_pb2.JoinRequest, verbenathread.schema.directory_pb2.JoinReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Quarantine(self, stream: 'grpclib.server.Stream[verbenathread.schema.directory_pb2.PartGroup, verbenathread.schema.directory_pb2.QuarantineReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/verbenathread.schema.Directory/Watch': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 verbenathread.schema.directory_pb2.JoinRequest,
                 verbenathread.schema.directory_pb2.JoinReply,
             ),
+            '/verbenathread.schema.Directory/Quarantine': grpclib.const.Handler(
+                self.Quarantine,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                verbenathread.schema.directory_pb2.PartGroup,
+                verbenathread.schema.directory_pb2.QuarantineReply,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             verbenathread.schema.directory_pb2.JoinRequest,
             verbenathread.schema.directory_pb2.JoinReply,
         )
+        self.Quarantine = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/verbenathread.schema.Directory/Quarantine',
+            verbenathread.schema.directory_pb2.PartGroup,
+            verbenathread.schema.directory_pb2.QuarantineReply,
+        )
