--- a/tests/test_serving_crash_evidence.py
+++ b/tests/test_serving_crash_evidence.py
@@ -30,7 +30,7 @@
     ('too long ago', crashes(4, 'b', interval=400_000), ()),
     (
         'a part that is completed in between',
-        (*crashes(3, 'a'), Step(1200, 'a'), *crashes(3, 'a', first=1500)),
+        (*crashes(6, 'a', interval=300), Step(700, 'a')),
         (),
     ),
     (
