--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -5,19 +5,24 @@
 import socket
 
 from tests.gateway_harness import GatewayHarness, config, worker
-from tests.standins.crashing_worker import Behaviour, CrashingWorker
+from tests.standins.troubled_worker import Behaviour, TroubledWorker
 from verbenathread.serving.types import ServingConfig, Worker
 from verbenathread.types import Address, Peer
 
 # A worker that ended is back after this time, under another id.
 RESTART_DELAY_S = 0.8
+_SOUND = Behaviour()
 
 
 class GatewayFleet:
     """Gateways with one list of workers, as the directory would send it."""
 
     def __init__(
-        self, gateways: int, workers: int, behaviour: Behaviour
+        self,
+        gateways: int,
+        workers: int,
+        behaviour: Behaviour = _SOUND,
+        service: str = 'desk',
     ) -> None:
         """Prepare gateways and workers; :meth:`start` starts them."""
         self._peers = [
@@ -27,8 +32,9 @@
         self.gateways = [GatewayHarness(peer) for peer in self._peers]
         self._worker_count = workers
         self._behaviour = behaviour
+        self._service = service
         self._numbers = itertools.count(1)
-        self.standins: list[CrashingWorker] = []
+        self.standins: list[TroubledWorker] = []
         self._listed: list[Worker] = []
         # Times at which a worker ended.
         self.crash_times: list[float] = []
@@ -57,14 +63,14 @@
 
     async def _start_worker(self) -> None:
         number = next(self._numbers)
-        standin = CrashingWorker(f'w{number}', self._behaviour)
+        standin = TroubledWorker(f'w{number}', self._service, self._behaviour)
         self.standins.append(standin)
         address = await standin.start()
-        self._listed.append(worker(standin.worker_id, 'desk', address))
+        self._listed.append(worker(standin.worker_id, self._service, address))
         task = asyncio.create_task(self._replace_after_crash(standin))
         self._tasks.add(task)
 
-    async def _replace_after_crash(self, standin: CrashingWorker) -> None:
+    async def _replace_after_crash(self, standin: TroubledWorker) -> None:
         await standin.crashed.wait()
         self.crash_times.append(asyncio.get_running_loop().time())
         await asyncio.sleep(RESTART_DELAY_S)
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -7,7 +7,7 @@
 
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_harness import config, route
-from tests.standins.crashing_worker import Behaviour
+from tests.standins.troubled_worker import Behaviour
 from verbenathread.serving.types import RequestKind
 
 # All gateways in touch know of a part by this time after the fifth crash.
