Keep to the requests a second that a worker takes from all gateways

Callers' requests overran a worker in need: it named a limit in its answers and got as much as before, as no gateway read the header.

Change: the header is decoded in the adapter. A gateway tells the others of a limit that it hears, again at most once a second, and of one that an answer to a later request no longer names. Each gateway counts the sends of all gateways to such a worker in a bucket that drains at the limit; sends to engines are told anyway, those to a plain service's worker while it names a limit. Gateways that choose the worker in the same moment exceed it together, and as each send counts, all pause the longer after that. If all workers of a service are at their limits, the caller is refused at once and told when the first one takes a request again.

Ways weighed: fixed shares waste most of a small limit at 191 gateways; few owners for each limited worker leave the other gateways without a service whose workers are all limited. The notices are at most the limit a second for each limited worker and gateway; what is kept is one bucket a worker.

What other gateways tell is applied in a module of its own.

--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from verbenathread.http1.messages import Request
+from verbenathread.http1.messages import Request, ResponseHead
 from verbenathread.platform.headers import PlatformDialect
 
 
@@ -32,3 +32,24 @@
                 )
                 parsed = dialect.parse_request(request)
                 self.assertEqual(parsed.prompt.shared_parts, expected)
+
+
+class RequestLimitTest(unittest.TestCase):
+    def test_values(self):
+        # value, requests a second
+        cases = (
+            (b'1', 1),
+            (b'0.25', 0.25),
+            (b'0', 0),
+            (b'-1', None),
+            (b'few', None),
+            (b'inf', None),
+            (b'', None),
+        )
+        dialect = PlatformDialect()
+        for text, expected in cases:
+            with self.subTest(text=text):
+                head = ResponseHead(200, (), {b'server-limit': text})
+                self.assertEqual(
+                    dialect.parse_response(head).request_limit, expected
+                )
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -8,6 +8,7 @@
 from verbenathread.gateway.crash_reports import CrashReports
 from verbenathread.gateway.death_check import DeathCheck
 from verbenathread.gateway.metrics import GatewayMetrics
+from verbenathread.gateway.notice_handler import NoticeHandler
 from verbenathread.gateway.notices import GatewayNotices
 from verbenathread.gateway.pool import ConnectionPool
 from verbenathread.gateway.probing import LoadProber
@@ -81,9 +82,12 @@
     outliers = OutlierTracker()
     send_tracker = SendTracker(view)
     quarantine = PromptQuarantine(clock, Random())
-    notices = GatewayNotices(
-        me, view, fleet, outliers, quarantine, clock, send_tracker.suspect
+    handler = NoticeHandler(
+        view, fleet, outliers, quarantine, signals.limits, clock
     )
+    handler.on_suspect = send_tracker.suspect
+    notices = GatewayNotices(me, view, handler)
+    signals.on_limit = notices.announce_limit
     signals.on_leaving = notices.announce_leaving
     return GatewayContext(
         clock=clock,
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -143,7 +143,7 @@
             await asyncio.sleep(seconds(_MAINTENANCE_INTERVAL))
             self._seeds.refresh()
             self.context.pool.close_expired()
-            self.context.signals.hold_offs.drop_expired(self._clock.now())
+            self.context.signals.drop_expired()
             self.context.fleet.drop_expired(self._clock.now())
             self.context.quarantine.drop_expired()
             self.context.metrics.waiting.set(len(self.context.queue))
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -235,7 +235,7 @@
             self._selector.record_first_event, selection, started
         )
         attempt.on_response = functools.partial(
-            context.signals.observe, selection.worker
+            context.signals.observe, selection.worker, sent_at=started
         )
         with context.send_tracker.track(selection.worker, attempt):
             result = await attempt.run(
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -4,50 +4,32 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, cast
 
 from google.protobuf.message import DecodeError
 
-from verbenathread.clock import Clock
-from verbenathread.gateway.prompt_quarantine import PromptQuarantine
+from verbenathread.gateway.notice_handler import PACE_SCALE, NoticeHandler
 from verbenathread.gateway.view import ClusterView
 from verbenathread.observability.logs import get_logger
-from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.schema import directory_pb2 as messages
-from verbenathread.serving.fleet_load import FleetLoad, PromptPart, Send
+from verbenathread.serving.fleet_load import Send
 from verbenathread.serving.types import Worker
 from verbenathread.types import Millis, Peer
 
 _log = get_logger('gateway')
-# Notices carry the pace in hundredths.
-_PACE_SCALE = 100
 
 
 class GatewayNotices(asyncio.DatagramProtocol):
     """Sends and receives notices."""
 
     def __init__(
-        self,
-        me: Peer,
-        view: ClusterView,
-        fleet: FleetLoad,
-        outliers: OutlierTracker,
-        quarantine: PromptQuarantine,
-        clock: Clock,
-        on_suspect: Callable[[str], None],
+        self, me: Peer, view: ClusterView, handler: NoticeHandler
     ) -> None:
-        """Notify the gateways of ``view``; record what they tell.
-
-        ``on_suspect`` is called with each engine that does not answer.
-        """
-        self._on_suspect = on_suspect
+        """Notify the gateways of ``view``; let ``handler`` apply theirs."""
         self._me = me
         self._view = view
-        self._fleet = fleet
-        self._outliers = outliers
-        self._quarantine = quarantine
-        self._clock = clock
+        self._handler = handler
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -84,6 +66,10 @@
             )
         )
 
+    def announce_plain_send(self, worker_id: str) -> None:
+        """Announce a send to a worker of a plain service."""
+        self._broadcast_send(messages.SendNotice(worker_id=worker_id))
+
     def announce_end(
         self, worker_id: str, send_id: str, completed_parts: Sequence[str]
     ) -> None:
@@ -119,16 +105,16 @@
 
     def on_pace(self, worker_id: str, pace: float) -> None:
         """Record and announce an engine's pace."""
-        self._fleet.record_pace(worker_id, pace)
+        self._handler.record_pace(worker_id, pace)
         self._broadcast_report(
             messages.ReportNotice(
-                worker_id=worker_id, pace=int(pace * _PACE_SCALE)
+                worker_id=worker_id, pace=int(pace * PACE_SCALE)
             )
         )
 
     def on_unresponsive(self, worker_id: str) -> None:
         """Eject an engine that does not answer, and announce it."""
-        self._eject(worker_id)
+        self._handler.eject(worker_id)
         self._broadcast_report(
             messages.ReportNotice(worker_id=worker_id, silent=True)
         )
@@ -143,6 +129,17 @@
             )
         )
 
+    def announce_limit(self, worker: Worker, rate: float | None) -> None:
+        """Announce the limit that a worker names; None if it names none."""
+        self._broadcast_report(
+            messages.ReportNotice(
+                worker_id=worker.worker_id,
+                born=worker.started_at,
+                request_limit=rate,
+                limit_lifted=rate is None,
+            )
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -159,59 +156,7 @@
         except DecodeError:
             _log.warning('Received a malformed notice.', sender=str(sender))
             return
-        if notice.HasField('report'):
-            self._apply_report(notice.report)
-        elif notice.HasField('crash'):
-            crash = notice.crash
-            self._quarantine.record_crash(
-                crash.worker_id, crash.born, crash.shared_parts
-            )
-        elif notice.send.ended:
-            self._fleet.record_end(
-                notice.send.worker_id, notice.send.send_id, self._clock.now()
-            )
-            self._quarantine.record_completion(notice.send.completed_parts)
-        else:
-            self._record_send(notice.send)
-
-    def _apply_report(self, report: messages.ReportNotice) -> None:
-        if report.leaving:
-            self._mark_leaving(report)
-        elif report.silent:
-            self._eject(report.worker_id)
-        else:
-            self._fleet.record_pace(report.worker_id, report.pace / _PACE_SCALE)
-
-    def _mark_leaving(self, report: messages.ReportNotice) -> None:
-        worker = self._view.worker_by_id.get(report.worker_id)
-        if worker is not None and worker.started_at == report.born:
-            self._view.mark_leaving(worker)
-
-    def _eject(self, worker_id: str) -> None:
-        self._outliers.eject(worker_id, self._clock.now())
-        self._on_suspect(worker_id)
-
-    def _record_send(self, notice: messages.SendNotice) -> None:
-        worker = self._view.worker_by_id.get(notice.worker_id)
-        if worker is None or self._view.table is None:
-            return
-        config = self._view.table.config
-        spec = config.service_by_name.get(worker.service)
-        if spec is None or spec.engine is None:
-            return
-        now = self._clock.now()
-        send = Send(
-            notice.send_id,
-            notice.prompt_tokens,
-            notice.output_tokens,
-            notice.target_pause,
-            now + notice.target_latency,
-            parts=tuple(
-                PromptPart(part.worker_id, part.held_tokens)
-                for part in notice.parts
-            ),
-        )
-        self._fleet.record_send(notice.worker_id, spec.engine, send, now)
+        self._handler.apply(notice)
 
     def _broadcast_send(self, send: messages.SendNotice) -> None:
         self._broadcast(messages.Notice(send=send))
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -82,6 +82,7 @@
         self._context = context
         self._service = service
         self._caller = caller
+        self._prompt = caller.prompt or Prompt(0, 0, 0)
         self._route = route
         self._excluded: set[str] = set()
         self._sends = 0
@@ -114,9 +115,8 @@
     def held_off_for(self) -> Millis:
         """Return the time until the first worker takes requests again."""
         context = self._context
-        return context.signals.hold_offs.shortest_left(
-            context.view.workers(self._service.name), context.clock.now()
-        )
+        workers = context.view.workers(self._service.name)
+        return min(map(context.signals.left, workers), default=0)
 
     def is_misdirected(self, head: ResponseHead) -> bool:
         """Return whether another worker answered at the address."""
@@ -176,7 +176,7 @@
         engine = self._service.engine
         prompt = self._caller.prompt
         if engine is None or prompt is None:
-            context.plain_balancer.record_start(selection.worker.worker_id)
+            self._record_plain_send(selection.worker.worker_id, now)
             return SendRecord(send_id, now)
         send = Send(
             send_id,
@@ -187,6 +187,9 @@
             parts=selection.parts,
         )
         worker_id = selection.worker.worker_id
+        context.signals.limits.record_send(worker_id, now)
+        for part in selection.parts:
+            context.signals.limits.record_send(part.worker_id, now)
         context.fleet.record_send(worker_id, engine, send, now)
         context.notices.announce_send(worker_id, send, max(0, self._due - now))
         return SendRecord(send_id, now)
@@ -210,11 +213,18 @@
             )
             return
         context.fleet.record_end(worker_id, record.send_id, now)
-        parts = self._caller.prompt.shared_parts if self.is_answered else ()
+        parts = self._prompt.shared_parts if self.is_answered else ()
         context.quarantine.record_completion(parts)
         context.notices.announce_end(worker_id, record.send_id, parts)
         context.queue.wake()
 
+    def _record_plain_send(self, worker_id: str, now: Millis) -> None:
+        context = self._context
+        context.plain_balancer.record_start(worker_id)
+        context.signals.limits.record_send(worker_id, now)
+        if context.signals.limits.is_named(worker_id):
+            context.notices.announce_plain_send(worker_id)
+
     def _select_plain(self) -> Selection | Refusal:
         context = self._context
         now = context.clock.now()
@@ -240,7 +250,7 @@
         for worker in context.view.workers(self._service.name):
             if worker.worker_id in self._excluded:
                 continue
-            if not context.signals.may_call(worker):
+            if context.signals.left(worker):
                 continue
             if worker.worker_id in ejected:
                 ejected_workers.append(worker)
@@ -255,7 +265,7 @@
         if engine is None:
             return NoCapacity(None)
         request = GenerationRequest(
-            self._prompt(),
+            self._prompt,
             max(0, self._due - now),
             self._route.target_pause,
             self._max_first_event_in(now),
@@ -285,7 +295,7 @@
     def _selection(self, placement: Placement) -> Selection:
         load = self._context.fleet.load(placement.worker.worker_id)
         priority = _SHORT_PRIORITY
-        if self._prompt().tokens > LONG_PROMPT_TOKENS:
+        if self._prompt.tokens > LONG_PROMPT_TOKENS:
             priority = _LONG_PRIORITY
         return Selection(
             placement.worker,
@@ -319,10 +329,6 @@
         left = self._due - route.target_latency + event_timeout(route) - now
         return int(left * _SAFE_FORECAST_SHARE)
 
-    def _prompt(self) -> Prompt:
-        prompt = self._caller.prompt
-        return Prompt(0, 0, 0) if prompt is None else prompt
-
 
 def event_timeout(route: Route) -> Millis:
     """Return the time without events after which callers abandon a stream."""
--- a/verbenathread/platform/headers.py
+++ b/verbenathread/platform/headers.py
@@ -50,6 +50,8 @@
 _RETRY_AFTER: Final = b'Retry-After'
 _LEAVING: Final = b'server-leaving'
 _LEAVING_VALUE: Final = b'1'
+# Requests a second, from all gateways together.
+_REQUEST_LIMIT: Final = b'server-limit'
 _UNAVAILABLE: Final = 503
 _HOST: Final = b'host'
 # Status of a worker other than the expected one.
@@ -136,6 +138,7 @@
             faulty_worker=values.get(_FAULTY_WORKER, b'').decode('latin-1'),
             is_leaving=values.get(_LEAVING, b'').strip() == _LEAVING_VALUE,
             retry_after=_parse_retry_after(head),
+            request_limit=_parse_request_limit(values.get(_REQUEST_LIMIT)),
         )
 
     def parse_load_report(self, body: bytes) -> LoadReport | None:
@@ -234,6 +237,23 @@
     return None
 
 
+def _parse_request_limit(text: bytes | None) -> float | None:
+    """Return the requests a second; None if there is no valid number."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if limit >= 0 and math.isfinite(limit):
+        return limit
+    _log.warning(
+        'Ignoring a Server-Limit that is no number of requests a second.',
+        value=text[:_MAX_LOGGED].decode('latin-1'),
+    )
+    return None
+
+
 def _parse_number(text: bytes | None) -> int | None:
     return None if text is None else int(text)
 
--- a/verbenathread/serving/dialect.py
+++ b/verbenathread/serving/dialect.py
@@ -64,6 +64,9 @@
     is_leaving: bool = False
     # The worker refused and wants nothing for this time.
     retry_after: Millis | None = None
+    # Requests a second that the worker takes from all gateways; None if it
+    # names no limit.
+    request_limit: float | None = None
 
 
 class WorkerCall(NamedTuple):
--- a/verbenathread/serving/hold_offs.py
+++ b/verbenathread/serving/hold_offs.py
@@ -4,7 +4,6 @@
 what it can't queue, and more requests to it would only be refused too.
 """
 
-from collections.abc import Iterable
 from random import Random
 
 from verbenathread.serving.types import Worker
@@ -41,10 +40,6 @@
         """Return how long to leave ``worker`` alone; 0 if it may be used."""
         return max(0, self._until_by_key.get(_key(worker), 0) - now)
 
-    def shortest_left(self, workers: Iterable[Worker], now: Millis) -> Millis:
-        """Return the time until the first of ``workers`` may be used."""
-        return min((self.left(worker, now) for worker in workers), default=0)
-
     def drop_expired(self, now: Millis) -> None:
         """Forget the times that have passed."""
         for key, until in tuple(self._until_by_key.items()):
