Play crashing parts and named limits in the soak

Some callers' prompts have a part that crashes each engine which begins to answer them, and during planned work an engine names a limit.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,6 +9,7 @@
 
 from tests.gateway_harness import Response, read_response
 from tools.soak.findings import NOT_RUN, Findings
+from tools.soak.worker_trouble import CRASHING_PART
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Address, Millis
 
@@ -46,15 +47,26 @@
     # Prompt and output tokens; empty for a plain service.
     tokens: str = ''
     events: int = 0
+    # Parts of the prompt that others may share.
+    shared_parts: str = ''
 
 
 REQUEST_KINDS = (
-    RequestKind('short', 10, 'POST', '/note/12/', '4000,500', 12),
+    RequestKind('short', 10, 'POST', '/note/12/', '4000,500', 12, 'a1:40'),
     # Exceeds the memory of one engine.
     RequestKind('large', 2, 'POST', '/file/8/', '300000,400', 8),
     RequestKind('hold', 6, 'POST', '/hold/'),
     RequestKind('check', 5, 'GET', '/check/'),
 )
+CRASHING_KIND = RequestKind(
+    'crashing',
+    1,
+    'POST',
+    '/note/12/',
+    '4000,500',
+    12,
+    f'a1:40,{CRASHING_PART}:30',
+)
 
 
 class _Connection(NamedTuple):
@@ -85,11 +97,12 @@
 
     async def run(self) -> None:
         """Send requests until cancelled."""
-        weights = [kind.weight for kind in REQUEST_KINDS]
+        kinds = (*REQUEST_KINDS, CRASHING_KIND)
+        weights = [kind.weight for kind in kinds]
         while True:
             pause = self._random.randint(1, 2 * _MEAN_PAUSE)
             await asyncio.sleep(seconds(pause))
-            kind = self._random.choices(REQUEST_KINDS, weights)[0]
+            kind = self._random.choices(kinds, weights)[0]
             aborts = self._random.random() < _ABORT_SHARE
             await self.send(kind, aborts=aborts)
 
@@ -214,10 +227,13 @@
 def request_bytes(kind: RequestKind, attempt_id: str) -> bytes:
     """Return the bytes of a request as a caller sends it."""
     tokens = f'Token-Usage: {kind.tokens}\r\n' if kind.tokens else ''
+    prompt = ''
+    if kind.shared_parts:
+        prompt = f'Prompt-Prefix: {kind.shared_parts},{attempt_id}:30\r\n'
     head = (
         f'{kind.method} {kind.path}{attempt_id} HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Attempt-Id: {attempt_id}\r\nDeadline-Ms: {_CLIENT_TIMEOUT}\r\n'
-        f'Authorization: Bearer {KEY}\r\n{tokens}Content-Length: 0\r\n\r\n'
+        f'Authorization: Bearer {KEY}\r\n{tokens}{prompt}Content-Length: 0\r\n\r\n'
     )
     return head.encode()
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -75,10 +75,15 @@
         await asyncio.gather(*self._tasks)
 
     async def run_planned_work(self) -> None:
-        """Perform planned work only: a stop, a leave, a change of seeds."""
+        """Perform planned work only: a stop, a leave, a change of seeds.
+
+        Meanwhile a worker names a limit.
+        """
         node = self._random.choice(self._fleet.gateways)
         await asyncio.gather(
-            self._terminate(node), self._pool.replace(self._random)
+            self._terminate(node),
+            self._pool.replace(self._random),
+            self._pool.limit_engine(self._random),
         )
         self._fleet.change_seeds(self._random.randrange(3))
 
--- a/tools/soak/findings.py
+++ b/tools/soak/findings.py
@@ -2,13 +2,15 @@
 
 A violation begins with its time in ms and the name of its rule:
 
+BUDGET: workers got prompts with a part under which five had crashed
 CONFIG: a change of the configuration was lost, late, undone or wrongly
     accepted, or too many final responses came after the time limit
 DENIED: a valid request got a 4xx status that is not a refusal
 DRAIN: a worker got a request long after its leave was acknowledged
 ENDED: a process exited on its own
 LEAK: an engine still holds a reservation at the end
-LIMIT: two requests used the same reservation at once
+LIMIT: two requests used the same reservation at once, or a worker got far more
+    requests than the limit that it named
 LOG: a log has a traceback or an unexpected error
 LOST: a request got no complete response, and no unplanned fault explains it
 MIXED: a response belongs to another request
@@ -86,15 +88,23 @@
         self._span_by_id[span_id] = span._replace(until=self._clock.now())
 
     def is_fault_free(
-        self, since: Millis, until: Millis, *, ignore_planned: bool = False
+        self,
+        since: Millis,
+        until: Millis,
+        *,
+        ignore_planned: bool = False,
+        ignored_target: str = '',
     ) -> bool:
         """Return whether no fault overlaps the span.
 
-        ``ignore_planned`` leaves planned work out of account.
+        ``ignore_planned`` leaves planned work out of account, and
+        ``ignored_target`` the faults of this name.
         """
         for span in self._span_by_id.values():
             if ignore_planned and span.planned:
                 continue
+            if span.target == ignored_target:
+                continue
             if span.overlaps(since, until):
                 return False
         return True
--- a/tools/soak/loopback_proxy.py
+++ b/tools/soak/loopback_proxy.py
@@ -52,11 +52,15 @@
         """Start to listen."""
         self._server = await asyncio.start_server(self._accept, *self.listen)
 
-    async def stop(self) -> None:
-        """Stop listening and reset every connection."""
+    def refuse(self) -> None:
+        """Stop listening and reset every connection, until :meth:`start`."""
         if self._server is not None:
             self._server.close()
         self.reset()
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection."""
+        self.refuse()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tools/soak/worker_pool.py
+++ b/tools/soak/worker_pool.py
@@ -10,6 +10,7 @@
 from tools.soak.findings import Findings
 from tools.soak.fleet import WORKER_HEARTBEAT, Fleet
 from tools.soak.loopback_proxy import LoopbackProxy
+from tools.soak.worker_trouble import CRASH_FAULT, CrashingPart, NamedLimit
 from tools.soak.workers import ENGINE_SERVICE, LEDGER_SERVICE, SoakWorker
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Address, Millis
@@ -22,6 +23,11 @@
 _OK = 200
 # A worker goes on serving this long after its leave was acknowledged.
 _DRAIN_TIME: Millis = 3500
+# A worker that a prompt crashed is back after this time.
+_DOWN_TIME: Millis = 700
+# Requests a second that a worker in need takes, and for how long.
+_LIMIT = 2.0
+_LIMITED_TIME: Millis = 9000
 _UNUSED_ADDRESS = Address('127.0.0.1', 9)
 
 
@@ -48,6 +54,8 @@
             for n in range(len(self._services))
         ]
         self.workers: list[SoakWorker] = []
+        self._crashing = CrashingPart(findings, clock)
+        self._restarts: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start a proxy and a worker at each address."""
@@ -58,6 +66,8 @@
 
     async def stop(self) -> None:
         """Stop every worker and proxy."""
+        for task in self._restarts:
+            task.cancel()
         for worker, proxy in zip(self.workers, self.proxies, strict=True):
             await worker.crash()
             await proxy.stop()
@@ -89,21 +99,57 @@
         if self.workers[number] is worker:
             await self._replace_at(number)
 
+    async def limit_engine(self, rng: random.Random) -> None:
+        """Let an engine name a limit for some seconds."""
+        worker = rng.choice(
+            [each for each in self.workers if each.service == ENGINE_SERVICE]
+        )
+        worker.limit = NamedLimit(
+            worker.worker_id, _LIMIT, self._findings, self._clock
+        )
+        await asyncio.sleep(seconds(_LIMITED_TIME))
+        worker.limit = None
+
     async def _replace_at(self, number: int) -> None:
         """Crash the worker at one address and start another there."""
         worker = self.workers[number]
+        if worker.is_down:
+            return
         await worker.crash()
         self.workers[number] = await self._start_worker(
             worker.service, self.proxies[number]
         )
 
+    def _restart(self, worker: SoakWorker) -> None:
+        """Take a worker down that a prompt crashed, for a while."""
+        task = asyncio.create_task(self._restart_later(worker))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_later(self, worker: SoakWorker) -> None:
+        span_id = self._findings.begin_fault(CRASH_FAULT)
+        number = self.workers.index(worker)
+        proxy = self.proxies[number]
+        proxy.refuse()
+        await worker.crash()
+        await asyncio.sleep(seconds(_DOWN_TIME))
+        await proxy.start()
+        self.workers[number] = await self._start_worker(worker.service, proxy)
+        self._findings.end_fault(span_id)
+
     async def _start_worker(
         self, service: str, proxy: LoopbackProxy
     ) -> SoakWorker:
         worker_id = f'i-{next(self._numbers)}'
         worker = SoakWorker(
-            service, worker_id, proxy, self._findings, self._clock
+            service,
+            worker_id,
+            proxy,
+            self._findings,
+            self._crashing,
+            self._clock,
         )
+        worker.on_crash = self._restart
         await worker.start()
         for other in (*self.workers, worker):
             other.peer_by_address[str(worker.address)] = worker
@@ -111,6 +157,8 @@
         return worker
 
     async def _send_heartbeat(self, worker: SoakWorker) -> bool:
+        if worker.is_down:
+            return False
         worker.sequence += 1
         body = {
             'service': worker.service,
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -4,12 +4,19 @@
 import contextlib
 import json
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from tests.standins import platform_worker as standin
 from tests.standins.platform_worker import PlatformWorker, ReceivedRequest
+from tests.standins.troubled_worker import shared_parts
 from tools.soak.findings import Findings
 from tools.soak.loopback_proxy import LoopbackProxy
+from tools.soak.worker_trouble import (
+    CRASHING_PART,
+    CrashingPart,
+    NamedLimit,
+)
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Millis
 
@@ -44,9 +51,16 @@
         worker_id: str,
         proxy: LoopbackProxy,
         findings: Findings,
+        crashing: CrashingPart,
         clock: Clock,
     ) -> None:
         """Prepare to serve at ``proxy``; :meth:`start` begins."""
+        self._crashing = crashing
+        # Called when a prompt crashes this worker.
+        self.on_crash: Callable[[SoakWorker], None] | None = None
+        self.is_down = False
+        # The limit that its answers name, if any.
+        self.limit: NamedLimit | None = None
         self.service = service
         self.worker_id = worker_id
         self.address = proxy.listen
@@ -113,6 +127,8 @@
             )
             return
         self._check(request)
+        if self.limit is not None:
+            self.limit.record_arrival()
         if self._random.random() < self.failure_share:
             if await self._fail(request, writer):
                 return
@@ -206,7 +222,10 @@
     async def _stream(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(standin.stream_head(request))
+        crashes = CRASHING_PART in shared_parts(request)
+        if crashes:
+            self._crashing.record_arrival(request.attempt_id)
+        writer.write(self._name_limit(standin.stream_head(request)))
         # The path contains the number of events.
         last = int(request.request_line.split()[1].split('/')[2])
         first = int(request.header_by_name.get('last-event-id', '0')) + 1
@@ -216,8 +235,22 @@
             )
             await writer.drain()
             await asyncio.sleep(seconds(_EVENT_INTERVAL))
+            if crashes:
+                self._crash()
         writer.write(standin.LAST_CHUNK)
 
+    def _crash(self) -> None:
+        if not self.is_down and self.on_crash is not None:
+            self.is_down = True
+            self._crashing.record_crash()
+            self.on_crash(self)
+
+    def _name_limit(self, head: bytes) -> bytes:
+        if self.limit is None:
+            return head
+        header = f'Server-Limit: {self.limit.rate}\r\nContent-Type'.encode()
+        return head.replace(b'Content-Type', header)
+
     def _helper_reservations(
         self, request: ReceivedRequest
     ) -> list[tuple['SoakWorker', str]]:
