Retry waiting generations together, once in each interval

Callers in a burst waited longer than they had to: each waiter retried all waiters every 100 ms, so the tries grew with the square of the queue, and a gateway spent its processor on them instead of on requests.

Change: the waiters share the periodic retry.

--- a/verbenathread/gateway/admission_queue.py
+++ b/verbenathread/gateway/admission_queue.py
@@ -9,7 +9,8 @@
 from verbenathread.types import Millis
 
 # Placement is retried even if no send ends, since a notice of an end may be
-# lost.
+# lost. All waiters are tried together, each time at most once: in a burst they
+# would otherwise try one another far more often than a slot becomes free.
 _RETRY_INTERVAL: Millis = 100
 
 TryPlace = Callable[[], Placement | NoCapacity]
@@ -32,6 +33,7 @@
         self._clock = clock
         self._waiters: list[_Waiter] = []
         self._retry_scheduled = False
+        self._retried_at: Millis = clock.now()
 
     def __len__(self) -> int:
         """Return how many generations wait."""
@@ -42,6 +44,8 @@
     ) -> Placement | None:
         """Return the placement found within ``limit`` ms, if any."""
         waiter = _Waiter(due, try_place)
+        if not self._waiters:
+            self._retried_at = self._clock.now()
         self._waiters.append(waiter)
         self._waiters.sort(key=_due)
         deadline = self._clock.now() + limit
@@ -53,9 +57,10 @@
                     return None
                 await asyncio.wait(
                     (waiter.future,),
-                    timeout=seconds(min(left, _RETRY_INTERVAL)),
+                    timeout=seconds(min(left, max(1, self._retry_in()))),
                 )
-                self._retry_all()
+                if self._retry_in() <= 0:
+                    self._retry_all()
         return waiter.future.result()
 
     def wake(self) -> None:
@@ -64,12 +69,16 @@
             self._retry_scheduled = True
             asyncio.get_running_loop().call_soon(self._retry_all)
 
+    def _retry_in(self) -> Millis:
+        return self._retried_at + _RETRY_INTERVAL - self._clock.now()
+
     def _remove(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
     def _retry_all(self) -> None:
         self._retry_scheduled = False
+        self._retried_at = self._clock.now()
         for waiter in tuple(self._waiters):
             placement = waiter.try_place()
             if isinstance(placement, Placement):
