--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -248,11 +248,10 @@
         ejected = context.outliers.ejected(context.clock.now())
         healthy = []
         ejected_workers = []
-        for worker in context.view.workers(self._service.name):
+        workers = context.view.workers(self._service.name)
+        for worker in context.signals.accepting(workers):
             if worker.worker_id in self._excluded:
                 continue
-            if context.signals.left(worker):
-                continue
             if worker.worker_id in ejected:
                 ejected_workers.append(worker)
             else:
--- a/verbenathread/gateway/worker_signals.py
+++ b/verbenathread/gateway/worker_signals.py
@@ -1,6 +1,6 @@
 """Acts on what workers say of themselves in any of their responses."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from verbenathread.clock import Clock
@@ -61,6 +61,12 @@
             return False
         return self._view.is_available(worker)
 
+    def accepting(self, workers: Iterable[Worker]) -> Iterable[Worker]:
+        """Return those that have not refused and are below their limits."""
+        if self.hold_offs.is_empty() and self.limits.is_empty():
+            return workers
+        return [worker for worker in workers if not self.left(worker)]
+
     def left(self, worker: Worker) -> Millis:
         """Return how long ``worker`` wants no request, in ms."""
         now = self._clock.now()
--- a/verbenathread/serving/hold_offs.py
+++ b/verbenathread/serving/hold_offs.py
@@ -36,6 +36,10 @@
         key = _key(worker)
         self._until_by_key[key] = max(until, self._until_by_key.get(key, 0))
 
+    def is_empty(self) -> bool:
+        """Return whether no worker has refused lately."""
+        return not self._until_by_key
+
     def left(self, worker: Worker, now: Millis) -> Millis:
         """Return how long to leave ``worker`` alone; 0 if it may be used."""
         return max(0, self._until_by_key.get(_key(worker), 0) - now)
--- a/verbenathread/serving/worker_limits.py
+++ b/verbenathread/serving/worker_limits.py
@@ -112,6 +112,10 @@
         if limit is not None:
             limit.count(now)
 
+    def is_empty(self) -> bool:
+        """Return whether no worker has named a limit lately."""
+        return not self._limit_by_id
+
     def is_named(self, worker_id: str) -> bool:
         """Return whether a worker names a limit now."""
         limit = self._limit_by_id.get(worker_id)
