Report found parts without a periodic wake-up, and test restarts

A gateway woke twice a second to look for parts to report; now it wakes when it has found some, until the directory lists them. A test kills the directory and a gateway and starts both: prompts with a listed part stay refused.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -19,6 +19,9 @@
 from tests.test_directory_cluster import body, heartbeat
 from tools.local_cluster import LOOPBACK_NET
 from tools.processes import Processes
+from verbenathread.rpc_channel import PeerChannel
+from verbenathread.schema import directory_pb2 as messages
+from verbenathread.schema.directory_grpc import DirectoryStub
 
 DIRECTORY_IP = f'{LOOPBACK_NET}.240'
 GATEWAY_IP = f'{LOOPBACK_NET}.241'
@@ -143,13 +146,13 @@
     async def serves(self):
         return (await self.send_request('probe')).status == 200
 
-    async def send_request(self, attempt_id):
+    async def send_request(self, attempt_id, headers=''):
         return await call(
             GATEWAY_IP,
             18070,
             'POST',
             '/note/1',
-            headers=f'Attempt-Id: {attempt_id}\r\nDeadline-Ms: 8000\r\n',
+            headers=f'Attempt-Id: {attempt_id}\r\nDeadline-Ms: 8000\r\n{headers}',
         )
 
     async def readiness(self):
@@ -203,6 +206,26 @@
         metrics = await call(DIRECTORY_IP, 18063, 'GET', '/metrics')
         return b'verbenathread_directory_leads 1.0' in metrics.body
 
+    async def test_restarts_keep_crashing_parts_from_workers(self):
+        channel = PeerChannel(DIRECTORY_IP, 18061)
+        group = messages.PartGroup(parts=['bad0'])
+        reply = await DirectoryStub(channel).Quarantine(group)
+        channel.close()
+        self.assertTrue(reply.done)
+        await self.until(self.logged('gateway', 'parts that crash workers'))
+        for name in ('directory', 'gateway'):
+            started = self.processes.by_name[name]
+            started.send_signal(signal.SIGKILL)
+            started.wait(5)
+            self.start(name)
+        await self.until(self.serves)
+        arrived = len(self.worker.requests)
+        response = await self.send_request(
+            'p1', 'Token-Usage: 100,50\r\nPrompt-Prefix: bad0:9,c1:9\r\n'
+        )
+        self.assertEqual(response.status, 503)
+        self.assertEqual(len(self.worker.requests), arrived)
+
     async def test_a_reload_signal_during_startup_is_ignored(self):
         for name in ('gateway', 'directory'):
             with self.subTest(name):
--- a/verbenathread/gateway/prompt_quarantine.py
+++ b/verbenathread/gateway/prompt_quarantine.py
@@ -45,7 +45,7 @@
         self._known_since_by_group: dict[PartGroup, Millis] = {}
         self._observed_at: Millis | None = None
         self._find_scheduled = False
-        # Called when there is something to report at once.
+        # Called when a group was found.
         self.on_found: Callable[[], None] | None = None
 
     @property
@@ -114,6 +114,10 @@
                 )
         self._listed = listed
 
+    def has_unlisted(self) -> bool:
+        """Return whether the directory does not list all groups yet."""
+        return bool(self._report_at_by_group)
+
     def unreported(self) -> list[PartGroup]:
         """Return the groups to report to the directory now."""
         now = self._clock.now()
@@ -154,7 +158,7 @@
             parts=_show(group),
             observed=has_observed,
         )
-        if has_observed and self.on_found is not None:
+        if self.on_found is not None:
             self.on_found()
 
 
--- a/verbenathread/gateway/quarantine_reports.py
+++ b/verbenathread/gateway/quarantine_reports.py
@@ -14,7 +14,8 @@
 
 _log = get_logger('gateway')
 
-# How often groups that are not listed yet are reported.
+# How often groups that are not listed yet are reported, or looked at, as those
+# that another gateway may report become due with time.
 _INTERVAL: Millis = 500
 _CALL_TIMEOUT: Millis = 1000
 
@@ -32,16 +33,13 @@
     async def run(self) -> None:
         """Report each group until the directory lists it."""
         while True:
-            try:
-                async with asyncio.timeout(seconds(_INTERVAL)):
-                    await self._found.wait()
-            except TimeoutError:
-                # Groups that other gateways may report become due with time.
-                pass  # noqa: WPS420
+            while self._quarantine.has_unlisted():
+                groups = self._quarantine.unreported()
+                if groups:
+                    await self._report(groups)
+                await asyncio.sleep(seconds(_INTERVAL))
+            await self._found.wait()
             self._found.clear()
-            groups = self._quarantine.unreported()
-            if groups:
-                await self._report(groups)
 
     async def _report(self, groups: list[PartGroup]) -> None:
         leader = self._view.leader
