--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -217,6 +217,32 @@
                 )
 
 
+class LimitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_which_answers_lift_a_limit(self):
+        stamp = {b'response-stamp': b's'}
+        # status, headers, whether the answer is to a caller's request
+        cases = (
+            (200, stamp, True, True),
+            (200, {}, True, False),
+            (503, {b'not-executed': b'1'}, True, False),
+            (200, stamp, False, False),
+            (200, stamp | {b'server-limit': b'2'}, True, False),
+        )
+        for status, headers, is_request, lifted in cases:
+            with self.subTest(status=status, headers=headers):
+                harness = GatewayHarness()
+                target = worker('w0', 'ledger', Address('127.0.0.1', 9))
+                signals = harness.context.signals
+                now = harness.context.clock.now()
+                signals.limits.name(target, 1, now)
+                response = PlatformDialect().parse_response(
+                    ResponseHead(status, (), headers)
+                )
+                sent_at = now + 1 if is_request else None
+                signals.observe(target, response, sent_at)
+                self.assertEqual(signals.limits.is_named('w0'), not lifted)
+
+
 class AvailabilityTest(unittest.IsolatedAsyncioTestCase):
     async def test_which_workers_take_new_work(self):
         harness = GatewayHarness()
--- a/verbenathread/gateway/worker_signals.py
+++ b/verbenathread/gateway/worker_signals.py
@@ -53,7 +53,9 @@
             self.hold_offs.record(
                 worker, response.retry_after, self._clock.now()
             )
-        self._observe_limit(worker, response.request_limit, sent_at)
+        # Only a served request shows that the worker takes more again.
+        served_at = sent_at if response.has_stamp else None
+        self._observe_limit(worker, response.request_limit, served_at)
 
     def accepts(self, worker: Worker) -> bool:
         """Return whether new work may be sent to ``worker`` now."""
