Let the soak's planned leave end if a prompt crashed the worker first

Its logs show that the planned work began at 48:00.38 with a worker that a prompt had crashed at 47:59.73 and that was back under another id at 48:00.44: the leave waited for the acknowledgement of a worker that sends no heartbeats any more.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,9 @@
     1,
     # The SIGHUP after a change of seeds ended a gateway during its start.
     400,
+    # The soak's own fault: it waited for the leave of a worker that a prompt
+    # had crashed 0.6 s before.
+    7101,
 )
 STAMP = MappingProxyType({'attempt-id': 'c-1', 'response-stamp': 'stamp-c-1'})
 EVENT = b'id: %d\ndata: c-1-%d\n\n'
--- a/tools/soak/worker_pool.py
+++ b/tools/soak/worker_pool.py
@@ -90,9 +90,12 @@
         worker = self.workers[number]
         span_id = self._findings.begin_fault(worker.worker_id, planned=True)
         worker.is_draining = True
-        while not await self._send_heartbeat(worker):
+        while not worker.is_down and not await self._send_heartbeat(worker):
             await asyncio.sleep(seconds(WORKER_HEARTBEAT))
         self._findings.end_fault(span_id)
+        if worker.is_down:
+            # A prompt crashed it first.
+            return
         worker.drained_at = self._clock.now()
         await asyncio.sleep(seconds(_DRAIN_TIME))
         await self._call_directory(worker, 'Deregister', {'born': worker.born})
