Refuse requests that come too late in a planned stop to be answered

Change: once the load balancer no longer sends new connections, a request whose time limit lies beyond the end of the process is refused as not run, with Connection: close and a Retry-After of 10 ms; others serve it.

Measured: tests.test_platform_processes.ProcessesTest. test_a_late_request_is_refused_rather_than_cut failed before (200, cut) and passes.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -184,6 +184,35 @@
         self.assertEqual(code, 0)
         self.assertEqual(self.lines('gateway')[-1]['cut'], 0)
 
+    async def test_a_late_request_is_refused_rather_than_cut(self):
+        async def long_stream(request, writer):
+            writer.write(stream_head(request))
+            for number in range(1, 16):
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await asyncio.sleep(0.2)
+            writer.write(LAST_CHUNK)
+
+        self.worker.script = long_stream
+        reader, writer = await asyncio.open_connection(GATEWAY_IP, 18070)
+        head = 'POST /note/1 HTTP/1.1\r\nHost: desk.example\r\n'
+        limits = 'Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n'
+        writer.write(f'{head}Attempt-Id: s1\r\n{limits}'.encode())
+        await asyncio.sleep(0.2)
+        self.gateway.send_signal(signal.SIGTERM)
+        first = await read_response(reader)
+        self.assertTrue(first.complete)
+        # The first head was sent before the signal, so the caller goes on.
+        self.assertNotIn('connection', first.header_by_name)
+        writer.write(f'{head}Attempt-Id: s2\r\n{limits}'.encode())
+        second = await read_response(reader)
+        writer.close()
+        self.assertEqual(second.status, 503)
+        self.assertEqual(second.header_by_name['connection'], 'close')
+        self.assertGreater(float(second.header_by_name['retry-after']), 0)
+        ran = {received.attempt_id for received in self.worker.requests}
+        self.assertNotIn('s2', ran)
+
     async def test_the_gateway_serves_without_the_directory(self):
         directory = self.processes.by_name['directory']
         directory.send_signal(signal.SIGKILL)
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -60,7 +60,8 @@
         self._quarantine_reports = QuarantineReports(
             self.context.quarantine, self.view
         )
-        self.server = HttpServer(GatewayHandler(self.context), self._clock)
+        self._handler = GatewayHandler(self.context)
+        self.server = HttpServer(self._handler, self._clock)
         status = StatusHandler(
             self.context.metrics.registry, self.why_not_ready
         )
@@ -101,6 +102,7 @@
         _log.info('Gateway stopping.', busy=self.server.busy_count())
         delay = min(_SHUTDOWN_DELAY, self._section.stop_limit)
         await asyncio.sleep(seconds(delay))
+        self._handler.ends_at = until
         await self.server.drain(until)
         await self.context.reservations.close()
         await cancel_all(self._tasks)
--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -36,6 +36,8 @@
 # After a restart of all nodes the directory elects a leader within 2 s; a
 # caller that retries after that finds a working gateway.
 _NO_CONFIG_RETRY_AFTER: Millis = 2000
+# Other gateways serve the request at once.
+_STOP_RETRY_AFTER: Millis = 10
 _REJECTION_BY_TYPE: Final = MappingProxyType(
     {
         UnknownRoute: (_NOT_FOUND, 'no route serves this host and path'),
@@ -50,6 +52,8 @@
     def __init__(self, context: GatewayContext) -> None:
         """Serve requests with ``context``."""
         self._context = context
+        # Set late in a planned stop: when the process ends what still runs.
+        self.ends_at: Millis | None = None
 
     async def handle(self, request: Request, reply: ResponseWriter) -> None:
         """Handle one request."""
@@ -76,6 +80,17 @@
             self._reject(caller.attempt_id, status, message, reply)
             return
         routed = self._route(request, caller, match)
+        if self.ends_at is not None and routed.deadline > self.ends_at:
+            # Callers whose stream began before the stop were not told that the
+            # connection closes, and go on using it.
+            self._reject(
+                caller.attempt_id,
+                _UNAVAILABLE,
+                'this gateway may stop before the request ends',
+                reply,
+                _STOP_RETRY_AFTER,
+            )
+            return
         context.retry_budget.record_request(
             routed.service.name, request.received_at
         )
