--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from tests.gateway_fleet import GatewayFleet
 from tests.gateway_harness import GatewayHarness, worker
 from tests.standins.platform_worker import (
     LAST_CHUNK,
@@ -155,6 +156,18 @@
             self.assertEqual(len(self.harness.view.workers('ledger')), count)
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_that_the_stop_cuts_tell_nobody(self):
+        fleet = GatewayFleet(2, 1)
+        await fleet.start()
+        notices = fleet.gateways[0].context.notices
+        notices.stop()
+        # The requests that a stop cuts end after the notices have stopped.
+        await asyncio.sleep(0)
+        notices.announce_end('w1', 'a1/1', ())
+        await fleet.stop()
+
+
 class HoldOffTest(GatewayTest):
     async def test_nothing_is_sent_to_a_worker_that_refused(self):
         await self.serve('ledger', refuse_for('0.6'), respond)
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -43,6 +43,7 @@
         """Stop listening."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def announce_send(
         self, worker_id: str, send: Send, target_latency: Millis
