Tell parts apart that explain equally many crashes

Found by reading: two parts that had crashed equally many workers, though different ones, counted as one group, and hid a third that had crashed more. A group now holds only parts of the same crashes; if several groups explain equally many, the next crash decides, and then all that is left is looked at again. Two new cases of tests.test_serving_crash_evidence failed before (nothing found for the third part; a group of parts that met once).

--- a/tests/test_directory_quarantine.py
+++ b/tests/test_directory_quarantine.py
@@ -143,6 +143,18 @@
                     quarantine.retry_after(prompt) is not None, refused
                 )
 
+    async def test_two_parts_are_found_together(self):
+        quarantine = PromptQuarantine(SystemClock(), Random(1))
+        for number in range(4):
+            quarantine.record_crash(f'w{number}', 1, ('b0',))
+            quarantine.record_crash(f'v{number}', 1, ('c0',))
+            if number:
+                await asyncio.sleep(0.11)
+        self.assertEqual(list(quarantine.groups), [])
+        quarantine.record_crash('w9', 1, ('b0',))
+        await asyncio.sleep(0.11)
+        self.assertEqual(set(quarantine.groups), {GROUP, frozenset(('c0',))})
+
     async def test_who_saw_the_crash_reports_at_once(self):
         for observed in (True, False):
             with self.subTest(observed=observed):
--- a/tests/test_serving_crash_evidence.py
+++ b/tests/test_serving_crash_evidence.py
@@ -66,6 +66,25 @@
         (*crashes(4, 'b'), *crashes(4, 's'), Step(2000, 'b', 'w9')),
         ('b',),
     ),
+    (
+        'most crashes among parts of different workers',
+        (
+            *crashes(4, 'x', prefix='x'),
+            *crashes(4, 'y', first=3, prefix='y'),
+            *crashes(4, 'z', first=6, prefix='z'),
+            Step(1509, 'z', 'z9'),
+        ),
+        ('z',),
+    ),
+    (
+        'parts that meet once, at different workers',
+        (
+            *crashes(3, 'x', prefix='x'),
+            *crashes(3, 'y', first=3, prefix='y'),
+            Step(1500, 'x y', 'w9'),
+        ),
+        (),
+    ),
     (
         'prompts without shared parts',
         crashes(6, ''),
--- a/verbenathread/gateway/prompt_quarantine.py
+++ b/verbenathread/gateway/prompt_quarantine.py
@@ -138,10 +138,15 @@
 
     def _find(self) -> None:
         self._find_scheduled = False
+        while True:
+            group = self._evidence.find(self._clock.now(), self.groups)
+            if group is None:
+                return
+            self._add(group)
+
+    def _add(self, group: PartGroup) -> None:
+        """Keep a group that was found here from workers, and report it."""
         now = self._clock.now()
-        group = self._evidence.find(now, self.groups)
-        if group is None:
-            return
         has_observed = (
             self._observed_at is not None
             and now - self._observed_at <= 2 * SETTLE_TIME
--- a/verbenathread/serving/crash_evidence.py
+++ b/verbenathread/serving/crash_evidence.py
@@ -98,24 +98,22 @@
         explains count against no other part any more.
         """
         known_parts = frozenset().union(*found)
-        best: set[str] = set()
-        explained: frozenset[IncarnationKey] = frozenset()
+        parts_by_crashes: dict[frozenset[IncarnationKey], set[str]] = {}
         for part, crashes in self._crashes_by_part(now).items():
             crashed_at = _by_incarnation(crashes)
-            if not _suffices(crashed_at.values(), part in known_parts):
-                continue
-            if len(crashed_at) > len(explained):
-                best = {part}
+            if _suffices(crashed_at.values(), part in known_parts):
                 explained = frozenset(crashed_at)
-            elif len(crashed_at) == len(explained):
-                best.add(part)
-                explained = explained.union(crashed_at)
-        group = frozenset(best)
-        if not group or not self._occurs(group):
-            # Parts of different prompts that met at the same workers: the next
-            # crash tells them apart.
+                parts_by_crashes.setdefault(explained, set()).add(part)
+        most = max(map(len, parts_by_crashes), default=0)
+        best = [each for each in parts_by_crashes if len(each) == most]
+        if len(best) != 1:
+            # None, or several: the next crash tells them apart.
             return None
-        self._explain(explained)
+        group = frozenset(parts_by_crashes[best[0]])
+        if not self._occurs(group):
+            # Parts of different prompts that met at the same workers.
+            return None
+        self._explain(best[0])
         return group
 
     def _crashes_by_part(self, now: Millis) -> dict[str, list[Crash]]:
