--- a/tests/test_directory_cluster.py
+++ b/tests/test_directory_cluster.py
@@ -215,7 +215,12 @@
         me = Peer('g1', Address('127.0.0.1', 1))
         seed_file = SeedFile(str(path), 'gateway')
         self.watcher = DirectoryWatch(
-            view, seed_file, me, decode_config, SystemClock()
+            view,
+            PromptQuarantine(SystemClock(), random.Random(1)),
+            seed_file,
+            me,
+            decode_config,
+            SystemClock(),
         )
         self.watching = asyncio.create_task(self.watcher.run())
 
