--- a/tests/test_directory_cluster.py
+++ b/tests/test_directory_cluster.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from random import Random
 from unittest.mock import patch
 
 from h2.exceptions import StreamClosedError
@@ -19,6 +20,7 @@
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.directory.service import LEADER_TIMEOUT
 from verbenathread.exceptions import StorageError
+from verbenathread.gateway.prompt_quarantine import PromptQuarantine
 from verbenathread.gateway.view import ClusterView
 from verbenathread.gateway.watch import FIRST_UPDATE_TIMEOUT, DirectoryWatch
 from verbenathread.platform.bodies import decode_config
@@ -216,7 +218,7 @@
         seed_file = SeedFile(str(path), 'gateway')
         self.watcher = DirectoryWatch(
             view,
-            PromptQuarantine(SystemClock(), random.Random(1)),
+            PromptQuarantine(SystemClock(), Random(1)),
             seed_file,
             me,
             decode_config,
