Find a part after five crashes at two moments, too

Prompts that come in a burst crash many workers at few moments; after the third moment a whole burst may be under way.

Change: five crashes at two moments suffice, as four at three do. A new case of tests.test_serving_crash_evidence failed before.

--- a/tests/test_serving_crash_evidence.py
+++ b/tests/test_serving_crash_evidence.py
@@ -26,6 +26,8 @@
     ('four crashes', crashes(4, 'b'), ('b',)),
     ('the same worker', (Step(0, 'b', 'w'),) * 6, ()),
     ('all at one moment', crashes(8, 'b', interval=5), ()),
+    ('five workers at two moments', crashes(5, 'b', interval=30), ('b',)),
+    ('four workers at two moments', crashes(4, 'b', interval=40), ()),
     ('within minutes', crashes(4, 'b', interval=120_000), ('b',)),
     ('too long ago', crashes(4, 'b', interval=400_000), ()),
     (
--- a/verbenathread/serving/crash_evidence.py
+++ b/verbenathread/serving/crash_evidence.py
@@ -25,9 +25,9 @@
 QUARANTINE_TIME: Millis = 3_600_000
 # Found groups that are kept; the oldest are dropped first.
 MAX_GROUPS = 64
-# Crashed workers, and moments at which they crashed, that a finding needs.
-_MIN_WORKERS = 4
-_MIN_MOMENTS = 3
+# Crashed workers, and moments at which they crashed, that a finding needs: one
+# of these pairs. Prompts that come in a burst crash many workers at few moments.
+_SUFFICIENT = ((4, 3), (5, 2))
 # The same for a part of a group that was found before.
 _MIN_FOLLOWERS = 2
 # Crashes within this time count as one moment.
@@ -171,4 +171,6 @@
             moment_began = crashed_at
     if is_known:
         return min(count, moments) >= _MIN_FOLLOWERS
-    return count >= _MIN_WORKERS and moments >= _MIN_MOMENTS
+    return any(
+        count >= workers and moments >= least for workers, least in _SUFFICIENT
+    )
