--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -12,6 +12,7 @@
 from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.dialect import BadRequest, CallerRequest
+from verbenathread.serving.request_key import RequestIdentity
 from verbenathread.serving.routes import (
     RouteMatch,
     UnknownKey,
@@ -120,8 +121,20 @@
         limit = route.time_limit
         if caller.time_left is not None:
             limit = min(limit, caller.time_left)
+        account = match.account
+        prompt = caller.prompt
+        identity = RequestIdentity(
+            request,
+            '' if account is None else account.name,
+            () if prompt is None else prompt.shared_parts,
+        )
         return RoutedRequest(
-            request, caller, match, service, request.received_at + limit
+            request,
+            caller,
+            match,
+            service,
+            request.received_at + limit,
+            identity,
         )
 
     def _reject(
--- a/verbenathread/gateway/request_log.py
+++ b/verbenathread/gateway/request_log.py
@@ -2,13 +2,14 @@
 
 from typing import NamedTuple
 
-from verbenathread.gateway.attempt import Attempt, Result
+from verbenathread.gateway.attempt import Attempt, Result, Verdict
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.selection import Refusal, Selection
 from verbenathread.http1.messages import Request
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.metrics import length_label
 from verbenathread.serving.dialect import CallerRequest
+from verbenathread.serving.request_key import RequestIdentity
 from verbenathread.serving.routes import RouteMatch
 from verbenathread.serving.types import ServiceSpec
 from verbenathread.types import Millis
@@ -27,6 +28,7 @@
     service: ServiceSpec
     # The earlier of the caller's deadline and the route's time limit.
     deadline: Millis
+    identity: RequestIdentity
 
 
 class RequestLog:
@@ -105,4 +107,11 @@
             tokens=0 if prompt is None else prompt.tokens,
             shared_parts=() if prompt is None else prompt.shared_parts,
             written=attempt.written_bytes,
+            request=self._request_key(result),
         )
+
+    def _request_key(self, result: Result) -> str | None:
+        """Return the key of a request whose send broke, maybe with its worker."""
+        if result.verdict is not Verdict.BROKEN:
+            return None
+        return self._routed.identity.key
