--- a/tests/test_serving_crash_evidence.py
+++ b/tests/test_serving_crash_evidence.py
@@ -20,6 +20,8 @@
     return tuple(Step(at, parts, f'{prefix}{at}') for at in moments)
 
 
+R1 = 'request:1'
+R2 = 'request:2'
 # name, steps, the groups that are found in turn
 CASES = (
     ('the fourth crash', crashes(3, 'b'), ()),
@@ -87,6 +89,45 @@
         ),
         (),
     ),
+    ('the second crash under a request', crashes(2, R1), ()),
+    ('three crashes under a request', crashes(3, R1), (R1,)),
+    ('a request at one moment', crashes(6, R1, interval=5), ()),
+    (
+        'a request that is completed in between',
+        (
+            *crashes(2, R1),
+            Step(800, R1),
+            *crashes(2, R1, first=1000),
+        ),
+        (),
+    ),
+    (
+        'a request beside one that died with it',
+        (*crashes(3, R1), *crashes(2, R2)),
+        (R1,),
+    ),
+    (
+        'two requests that died together until the last crash',
+        (*crashes(3, R1), *crashes(3, R2), Step(1500, R1, 'w9')),
+        (R1,),
+    ),
+    (
+        'two requests at different workers',
+        (
+            *crashes(3, R1),
+            *crashes(3, R2, first=3, prefix='v'),
+            Step(1600, 'a'),
+        ),
+        (R1, R2),
+    ),
+    (
+        'a part of several requests, one of which is found first',
+        (
+            *crashes(3, f'b {R1}'),
+            *crashes(1, f'b {R2}', first=1600, prefix='v'),
+        ),
+        (R1, 'b'),
+    ),
     (
         'prompts without shared parts',
         crashes(6, ''),
--- a/verbenathread/directory/quarantine.py
+++ b/verbenathread/directory/quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps the groups of prompt parts under which workers crash, for a time."""
+"""Keeps the groups of parts under which workers crash, for a time."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 from verbenathread.exceptions import VerbenathreadError
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema import directory_pb2 as messages
-from verbenathread.serving.crash_evidence import QUARANTINE_TIME, PartGroup
+from verbenathread.serving.crash_evidence import PartGroup, quarantine_time
 from verbenathread.types import Millis
 
 _log = get_logger('directory')
@@ -44,7 +44,7 @@
         if not await self._propose(command):
             return False
         _log.warning(
-            'Prompts with these parts are kept from workers.',
+            'Requests with these parts are kept from workers.',
             parts=sorted(group),
         )
         return True
@@ -66,7 +66,7 @@
             for group in self._machine.quarantine
         }
         for group, seen_at in self._seen_at_by_group.items():
-            if now - seen_at < QUARANTINE_TIME:
+            if now - seen_at < quarantine_time(group):
                 continue
             command = messages.DirectoryCommand(
                 drop_quarantine=encode_group(group)
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+from collections.abc import Sequence
 
 from verbenathread.gateway.attempt import (
     Attempt,
@@ -125,7 +126,7 @@
         with contextlib.ExitStack() as stack:
             stack.callback(self._selector.record_end, selection, record)
             result = await self._connect_and_send(selection)
-            self._selector.is_answered = self._is_whole_stream(result)
+            self._selector.completed_parts = self._completed_parts(result)
         if result is not None:
             await self._report_crash(selection.worker, result)
             self._handle_result(selection.worker, result)
@@ -162,34 +163,35 @@
         return True
 
     def _is_quarantined(self) -> bool:
-        """Fail the request if a part of its prompt crashes workers."""
+        """Fail the request if it, or a part of its prompt, crashes workers."""
         retry_after = self._context.quarantine.retry_after(
-            self._routed.caller.prompt
+            self._routed.identity
         )
         if retry_after is None:
             return False
         self._fail(
-            _UNAVAILABLE, 'a part of the prompt crashes workers', retry_after
+            _UNAVAILABLE, 'requests like this one crash workers', retry_after
         )
         return True
 
-    def _is_whole_stream(self, result: Result | None) -> bool:
-        """Return whether a worker certainly survived a whole answer."""
+    def _completed_parts(self, result: Result | None) -> Sequence[str]:
+        """Return the parts that a worker certainly answered to the end."""
         if result is None or result.head is None or result.ended_by_close:
-            return False
-        return (
-            result.verdict is Verdict.COMPLETE
-            and result.head.status < _FIRST_FAILURE
-            and self._is_stream()
-        )
+            return ()
+        if (
+            result.verdict is not Verdict.COMPLETE
+            or result.head.status >= _FIRST_FAILURE
+        ):
+            return ()
+        return self._context.quarantine.counted_parts(self._routed.identity)
 
     async def _report_crash(self, worker: Worker, result: Result) -> None:
         reports = self._context.crash_reports
-        prompt = self._routed.caller.prompt
+        identity = self._routed.identity
         if result.verdict is Verdict.BROKEN:
-            await reports.report(worker, prompt)
+            await reports.report(worker, identity)
         elif result.verdict is Verdict.COMPLETE and result.ended_by_close:
-            reports.report_close(worker, prompt)
+            reports.report_close(worker, identity)
 
     async def _connect(self, worker: Worker) -> ClientConnection | None:
         context = self._context
--- a/verbenathread/gateway/prompt_quarantine.py
+++ b/verbenathread/gateway/prompt_quarantine.py
@@ -1,4 +1,6 @@
-"""Keeps prompts from workers if a part of them crashes whoever answers it.
+"""Keeps requests from workers that crash whoever answers them.
+
+A request is kept if it, or a part of its prompt, crashes workers.
 
 Every gateway collects the crashes and the complete answers of all gateways,
 from their notices, and so finds the same parts within milliseconds. What one
@@ -14,12 +16,12 @@
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.crash_evidence import (
     MAX_GROUPS,
-    QUARANTINE_TIME,
     Crash,
     CrashEvidence,
     PartGroup,
+    quarantine_time,
 )
-from verbenathread.serving.types import Prompt
+from verbenathread.serving.request_key import RequestIdentity, is_request_key
 from verbenathread.types import Millis
 
 _log = get_logger('gateway')
@@ -53,23 +55,32 @@
         """Return the groups that are kept from workers."""
         return self._known_since_by_group.keys()
 
-    def retry_after(self, prompt: Prompt | None) -> Millis | None:
-        """Return how long this prompt is not served; None if it is now."""
-        if prompt is None or not self._known_since_by_group:
-            return None
-        parts = frozenset(prompt.shared_parts)
+    def retry_after(self, identity: RequestIdentity) -> Millis | None:
+        """Return how long this request is not served; None if it is now."""
         now = self._clock.now()
         for group, known_since in self._known_since_by_group.items():
-            if group <= parts:
-                return max(1, known_since + QUARANTINE_TIME - now)
+            if _concerns(group, identity):
+                return max(1, known_since + quarantine_time(group) - now)
         return None
 
-    def is_suspect(self, prompt: Prompt) -> bool:
+    def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether several workers crashed under a part of it."""
-        return self._evidence.is_suspect(prompt.shared_parts, self._clock.now())
+        return self._evidence.is_suspect(identity.parts, self._clock.now())
+
+    def counted_parts(self, identity: RequestIdentity) -> list[str]:
+        """Return the parts that a complete answer counts for.
+
+        Shared parts always do; other gateways may have seen the crashes. A
+        request does after a crash under it.
+        """
+        parts = list(identity.shared_parts)
+        evidence = self._evidence
+        if not evidence.is_empty() and evidence.has_crashes(identity.key):
+            parts.append(identity.key)
+        return parts
 
     def record_completion(self, parts: Iterable[str]) -> None:
-        """Record a complete answer to a prompt with these shared parts."""
+        """Record a complete answer to a request with these parts."""
         self._evidence.record_completion(parts, self._clock.now())
 
     def record_crash(
@@ -80,9 +91,9 @@
         *,
         observed: bool = False,
     ) -> None:
-        """Record that a worker crashed as it answered such a prompt.
+        """Record that a worker crashed as it answered such a request.
 
-        ``observed`` tells that this gateway sent the prompt.
+        ``observed`` tells that this gateway sent the request.
         """
         now = self._clock.now()
         crash = Crash((worker_id, started_at), now, frozenset(parts))
@@ -102,7 +113,7 @@
         for group in self._listed - listed:
             self._known_since_by_group.pop(group, None)
             _log.info(
-                'Prompts with these parts are served.', parts=_show(group)
+                'Requests with these parts are served.', parts=_show(group)
             )
         for group in listed:
             self._report_at_by_group.pop(group, None)
@@ -131,7 +142,8 @@
         """Drop groups that the directory could not be told for too long."""
         now = self._clock.now()
         for group, known_since in tuple(self._known_since_by_group.items()):
-            if group in self._listed or now - known_since < QUARANTINE_TIME:
+            age = now - known_since
+            if group in self._listed or age < quarantine_time(group):
                 continue
             self._known_since_by_group.pop(group)
             self._report_at_by_group.pop(group, None)
@@ -159,7 +171,7 @@
             self._known_since_by_group.pop(oldest)
             self._report_at_by_group.pop(oldest, None)
         _log.warning(
-            'Workers crash under prompts with these parts.',
+            'Workers crash under requests with these parts.',
             parts=_show(group),
             observed=has_observed,
         )
@@ -167,5 +179,14 @@
             self.on_found()
 
 
+def _concerns(group: PartGroup, identity: RequestIdentity) -> bool:
+    """Return whether a request has all parts of ``group``."""
+    others = group - identity.shared_parts
+    # The key is computed only if nothing but a request is left.
+    return all(is_request_key(part) for part in others) and (
+        others <= identity.parts
+    )
+
+
 def _show(group: PartGroup) -> list[str]:
     return sorted(group)
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -87,8 +87,8 @@
         self._route = route
         self._excluded: set[str] = set()
         self._sends = 0
-        # The last send got a whole answer.
-        self.is_answered = False
+        # The parts of the request that the last send answered to the end.
+        self.completed_parts: Sequence[str] = ()
         self._queued: asyncio.Task[Placement | None] | None = None
         self._due = context.clock.now() + route.target_latency
 
@@ -208,14 +208,16 @@
         context = self._context
         now = context.clock.now()
         worker_id = selection.worker.worker_id
+        parts = self.completed_parts
+        context.quarantine.record_completion(parts)
         if self._service.engine is None or self._caller.prompt is None:
             context.plain_balancer.record_end(
                 worker_id, now - record.started, now
             )
+            if parts:
+                context.notices.announce_completion(parts)
             return
         context.fleet.record_end(worker_id, record.send_id, now)
-        parts = self._prompt.shared_parts if self.is_answered else ()
-        context.quarantine.record_completion(parts)
         context.notices.announce_end(worker_id, record.send_id, parts)
         context.queue.wake()
 
