--- a/tools/soak/loopback_proxy.py
+++ b/tools/soak/loopback_proxy.py
@@ -54,9 +54,13 @@
 
     def refuse(self) -> None:
         """Stop listening and reset every connection, until :meth:`start`."""
+        self.stop_listening()
+        self.reset()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, until :meth:`start`."""
         if self._server is not None:
             self._server.close()
-        self.reset()
 
     async def stop(self) -> None:
         """Stop listening and end every connection."""
