--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -9,7 +9,7 @@
 
 from tests.gateway_harness import Response, read_response
 from tools.soak.findings import NOT_RUN, Findings
-from tools.soak.worker_trouble import CRASHING_PART
+from tools.soak.worker_trouble import CRASHING_PART, CRASHING_PATH
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Address, Millis
 
@@ -49,6 +49,8 @@
     events: int = 0
     # Parts of the prompt that others may share.
     shared_parts: str = ''
+    # The path is the same each time; it names the request otherwise.
+    is_repeated: bool = False
 
 
 REQUEST_KINDS = (
@@ -58,14 +60,17 @@
     RequestKind('hold', 6, 'POST', '/hold/'),
     RequestKind('check', 5, 'GET', '/check/'),
 )
-CRASHING_KIND = RequestKind(
-    'crashing',
-    1,
-    'POST',
-    '/note/12/',
-    '4000,500',
-    12,
-    f'a1:40,{CRASHING_PART}:30',
+CRASHING_KINDS = (
+    RequestKind(
+        'crashing prompt',
+        1,
+        'POST',
+        '/note/12/',
+        '4000,500',
+        12,
+        f'a1:40,{CRASHING_PART}:30',
+    ),
+    RequestKind('crashing call', 1, 'GET', CRASHING_PATH, is_repeated=True),
 )
 
 
@@ -97,7 +102,7 @@
 
     async def run(self) -> None:
         """Send requests until cancelled."""
-        kinds = (*REQUEST_KINDS, CRASHING_KIND)
+        kinds = (*REQUEST_KINDS, *CRASHING_KINDS)
         weights = [kind.weight for kind in kinds]
         while True:
             pause = self._random.randint(1, 2 * _MEAN_PAUSE)
@@ -230,8 +235,9 @@
     prompt = ''
     if kind.shared_parts:
         prompt = f'Prompt-Prefix: {kind.shared_parts},{attempt_id}:30\r\n'
+    path = kind.path if kind.is_repeated else f'{kind.path}{attempt_id}'
     head = (
-        f'{kind.method} {kind.path}{attempt_id} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'{kind.method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Attempt-Id: {attempt_id}\r\nDeadline-Ms: {_CLIENT_TIMEOUT}\r\n'
         f'Authorization: Bearer {KEY}\r\n{tokens}{prompt}Content-Length: 0\r\n\r\n'
     )
--- a/tools/soak/findings.py
+++ b/tools/soak/findings.py
@@ -2,7 +2,8 @@
 
 A violation begins with its time in ms and the name of its rule:
 
-BUDGET: workers got prompts with a part under which five had crashed
+BUDGET: workers got prompts with a part under which five had crashed, or a
+    request under which three had
 CONFIG: a change of the configuration was lost, late, undone or wrongly
     accepted, or too many final responses came after the time limit
 DENIED: a valid request got a 4xx status that is not a refusal
--- a/tools/soak/worker_pool.py
+++ b/tools/soak/worker_pool.py
@@ -10,7 +10,7 @@
 from tools.soak.findings import Findings
 from tools.soak.fleet import WORKER_HEARTBEAT, Fleet
 from tools.soak.loopback_proxy import LoopbackProxy
-from tools.soak.worker_trouble import CRASH_FAULT, CrashingPart, NamedLimit
+from tools.soak.worker_trouble import CRASH_FAULT, CrashingRequests, NamedLimit
 from tools.soak.workers import ENGINE_SERVICE, LEDGER_SERVICE, SoakWorker
 from verbenathread.clock import Clock, seconds
 from verbenathread.types import Address, Millis
@@ -23,7 +23,7 @@
 _OK = 200
 # A worker goes on serving this long after its leave was acknowledged.
 _DRAIN_TIME: Millis = 3500
-# A worker that a prompt crashed is back after this time.
+# A worker that a request crashed is back after this time.
 _DOWN_TIME: Millis = 700
 # Requests a second that a worker in need takes, and for how long.
 _LIMIT = 2.0
@@ -54,7 +54,7 @@
             for n in range(len(self._services))
         ]
         self.workers: list[SoakWorker] = []
-        self._crashing = CrashingPart(findings, clock)
+        self._crashing = CrashingRequests(findings, clock)
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -94,7 +94,7 @@
             await asyncio.sleep(seconds(WORKER_HEARTBEAT))
         self._findings.end_fault(span_id)
         if worker.is_down:
-            # A prompt crashed it first.
+            # A request crashed it first.
             return
         worker.drained_at = self._clock.now()
         await asyncio.sleep(seconds(_DRAIN_TIME))
@@ -124,7 +124,7 @@
         )
 
     def _restart(self, worker: SoakWorker) -> None:
-        """Take a worker down that a prompt crashed, for a while."""
+        """Take a worker down that a request crashed, for a while."""
         task = asyncio.create_task(self._restart_later(worker))
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
--- a/tools/soak/worker_trouble.py
+++ b/tools/soak/worker_trouble.py
@@ -1,4 +1,6 @@
-"""Workers that crash under one part of prompts, or that name a limit."""
+"""Workers that crash under some requests, or that name a limit."""
+
+from types import MappingProxyType
 
 from tools.soak.findings import Findings
 from verbenathread.clock import Clock
@@ -6,11 +8,15 @@
 
 # Workers crash as they begin to answer a prompt with this part.
 CRASHING_PART = 'bad0'
+# Workers crash as they run a request with this path.
+CRASHING_PATH = '/check/bad'
 # The fault that such a crash is for everything else.
-CRASH_FAULT = 'crashing part'
+CRASH_FAULT = 'crashing request'
 # All gateways that no fault affects know of either trouble after this time.
 _CONTACT_TIME: Millis = 3000
-_COUNTED_CRASHES = 5
+_COUNTED_CRASHES_BY_REASON = MappingProxyType(
+    {CRASHING_PART: 5, CRASHING_PATH: 3}
+)
 _MAX_LATER_SENDS = 3
 # A worker may get so much more than its limit in a span of this length.
 _LIMIT_SPAN: Millis = 4000
@@ -19,34 +25,42 @@
 _MS_PER_SECOND = 1000
 
 
-class CrashingPart:
-    """Counts the sends with the crashing part after the fifth crash."""
+class CrashingRequests:
+    """Counts the requests that workers get after enough have crashed.
+
+    The reason of a crash is the part or the path that crashes workers.
+    """
 
     def __init__(self, findings: Findings, clock: Clock) -> None:
         """Report to ``findings``."""
         self._findings = findings
         self._clock = clock
-        self._crash_times: list[Millis] = []
-        self._later_sends = 0
+        self._crash_times_by_reason: dict[str, list[Millis]] = {}
+        self._later_sends_by_reason: dict[str, int] = {}
 
-    def record_arrival(self, attempt_id: str) -> None:
-        """Check a request with the part that reached a worker."""
+    def record_arrival(self, reason: str, attempt_id: str) -> None:
+        """Check a request that reached a worker."""
         now = self._clock.now()
-        if len(self._crash_times) < _COUNTED_CRASHES:
+        crash_times = self._crash_times_by_reason.get(reason, [])
+        counted_crashes = _COUNTED_CRASHES_BY_REASON[reason]
+        if len(crash_times) < counted_crashes:
             return
-        known_at = self._crash_times[_COUNTED_CRASHES - 1] + _CONTACT_TIME
+        known_at = crash_times[counted_crashes - 1] + _CONTACT_TIME
         is_calm = self._findings.is_fault_free(
             now - _CONTACT_TIME, now, ignored_target=CRASH_FAULT
         )
         if now <= known_at or not is_calm:
             return
-        self._later_sends += 1
-        if self._later_sends > _MAX_LATER_SENDS:
-            self._findings.report_violation('BUDGET', attempt_id)
+        later_sends = self._later_sends_by_reason.get(reason, 0) + 1
+        self._later_sends_by_reason[reason] = later_sends
+        if later_sends > _MAX_LATER_SENDS:
+            self._findings.report_violation('BUDGET', f'{reason} {attempt_id}')
 
-    def record_crash(self) -> None:
-        """Record that a worker crashed under the part."""
-        self._crash_times.append(self._clock.now())
+    def record_crash(self, reason: str) -> None:
+        """Record that a worker crashed."""
+        self._crash_times_by_reason.setdefault(reason, []).append(
+            self._clock.now()
+        )
 
 
 class NamedLimit:
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -14,7 +14,8 @@
 from tools.soak.loopback_proxy import LoopbackProxy
 from tools.soak.worker_trouble import (
     CRASHING_PART,
-    CrashingPart,
+    CRASHING_PATH,
+    CrashingRequests,
     NamedLimit,
 )
 from verbenathread.clock import Clock, seconds
@@ -51,12 +52,12 @@
         worker_id: str,
         proxy: LoopbackProxy,
         findings: Findings,
-        crashing: CrashingPart,
+        crashing: CrashingRequests,
         clock: Clock,
     ) -> None:
         """Prepare to serve at ``proxy``; :meth:`start` begins."""
         self._crashing = crashing
-        # Called when a prompt crashes this worker.
+        # Called when a request crashes this worker.
         self.on_crash: Callable[[SoakWorker], None] | None = None
         self.is_down = False
         # The limit that its answers name, if any.
@@ -199,7 +200,13 @@
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         self._record_run(request)
+        crashes = f' {CRASHING_PATH} ' in request.request_line
+        if crashes:
+            self._crashing.record_arrival(CRASHING_PATH, request.attempt_id)
         await asyncio.sleep(seconds(_PLAIN_CALL_TIME))
+        if crashes:
+            self._crash(CRASHING_PATH)
+            return
         writer.write(
             standin.signed_response(
                 request, f'done {request.attempt_id}'.encode()
@@ -224,7 +231,7 @@
     ) -> None:
         crashes = CRASHING_PART in shared_parts(request)
         if crashes:
-            self._crashing.record_arrival(request.attempt_id)
+            self._crashing.record_arrival(CRASHING_PART, request.attempt_id)
         writer.write(self._name_limit(standin.stream_head(request)))
         # The path contains the number of events.
         last = int(request.request_line.split()[1].split('/')[2])
@@ -236,13 +243,13 @@
             await writer.drain()
             await asyncio.sleep(seconds(_EVENT_INTERVAL))
             if crashes:
-                self._crash()
+                self._crash(CRASHING_PART)
         writer.write(standin.LAST_CHUNK)
 
-    def _crash(self) -> None:
+    def _crash(self, reason: str) -> None:
         if not self.is_down and self.on_crash is not None:
             self.is_down = True
-            self._crashing.record_crash()
+            self._crashing.record_crash(reason)
             self.on_crash(self)
 
     def _name_limit(self, head: bytes) -> bytes:
