--- a/verbenathread/entry/cell_node.py
+++ b/verbenathread/entry/cell_node.py
@@ -14,7 +14,6 @@
 from verbenathread.entry.hold_outbox import HoldOutbox
 from verbenathread.entry.ledger_host import HoldReader, LedgerHost
 from verbenathread.entry.load_reports import LoadReports
-from verbenathread.entry.node_auth import NodeAuth
 from verbenathread.entry.node_reports import NodeReports
 from verbenathread.entry.peer_channels import PeerCalls, PeerChannels
 from verbenathread.entry.peer_server import PeerServer, PeerService
@@ -22,6 +21,7 @@
 from verbenathread.entry.settings_fetcher import SettingsFetcher
 from verbenathread.entry.settings_store import SettingsStore
 from verbenathread.membership.cell import Cell, NodeIdentity
+from verbenathread.node_auth import NodeAuth
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema import peer_pb2, settings_pb2
 from verbenathread.settings.node import parse_addresses, parse_peers
--- a/verbenathread/entry/peer_channels.py
+++ b/verbenathread/entry/peer_channels.py
@@ -10,9 +10,9 @@
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 
 from verbenathread.clock import seconds
-from verbenathread.entry.node_auth import NodeAuth
 from verbenathread.entry.reservation_stream import ReservationStream
 from verbenathread.membership.cell import PeerUnreachableError
+from verbenathread.node_auth import NodeAuth
 from verbenathread.rpc_channel import PeerChannel
 from verbenathread.schema import peer_grpc, peer_pb2
 from verbenathread.types import Millis, NodeId, Peer
--- a/verbenathread/entry/peer_server.py
+++ b/verbenathread/entry/peer_server.py
@@ -8,11 +8,11 @@
 from grpclib.server import Server, Stream
 
 from verbenathread.entry.ledger_host import LedgerHost
-from verbenathread.entry.node_auth import NodeAuth
 from verbenathread.entry.reservation_stream import ReservationStreamServer
 from verbenathread.entry.settings_store import SettingsStore
 from verbenathread.exceptions import UnavailableError
 from verbenathread.membership.cell import Cell
+from verbenathread.node_auth import NodeAuth
 from verbenathread.schema import peer_grpc, peer_pb2
 from verbenathread.types import Address, UpstreamId
 
--- a/verbenathread/gateway/attempt.py
+++ b/verbenathread/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from verbenathread.clock import Clock, seconds
 from verbenathread.gateway.events import EventSplitter
+from verbenathread.gateway.reply import Reply
 from verbenathread.gateway.stall_watch import (
     Liveness,
     StallTimeouts,
@@ -14,7 +15,6 @@
 )
 from verbenathread.http1.client import ClientConnection, Ending
 from verbenathread.http1.messages import ResponseHead
-from verbenathread.http1.response import ResponseWriter
 from verbenathread.serving.dialect import Dialect, WorkerResponse
 from verbenathread.types import Millis
 
@@ -55,13 +55,21 @@
     """
 
     def __init__(
-        self, reply: ResponseWriter, dialect: Dialect, last_event_id: int | None
+        self,
+        reply: Reply,
+        dialect: Dialect,
+        last_event_id: int | None,
+        *,
+        started: bool = False,
     ) -> None:
-        """Write the events after ``last_event_id`` to ``reply``."""
+        """Write the events after ``last_event_id`` to ``reply``.
+
+        ``started`` tells that the caller has the head.
+        """
         self._reply = reply
         self._dialect = dialect
         self.events = EventSplitter(last_event_id)
-        self.started = False
+        self.started = started
         self.written_bytes = 0
 
     def write(self, head: ResponseHead, content: bytes) -> None:
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -6,7 +6,7 @@
 from verbenathread.clock import Clock
 from verbenathread.gateway.admission_queue import AdmissionQueue
 from verbenathread.gateway.crash_reports import CrashReports
-from verbenathread.gateway.death_check import DeathCheck
+from verbenathread.gateway.handover_client import HandoverClient
 from verbenathread.gateway.metrics import GatewayMetrics
 from verbenathread.gateway.notice_handler import NoticeHandler
 from verbenathread.gateway.notices import GatewayNotices
@@ -25,7 +25,7 @@
 from verbenathread.serving.fleet_load import FleetLoad
 from verbenathread.serving.plain_balancer import PlainBalancer
 from verbenathread.serving.retry_budget import RetryBudget
-from verbenathread.types import Millis, Peer
+from verbenathread.types import Millis, NodeId, Peer
 
 # Lease of reserved memory, as a share of the longest time that it may stay
 # reserved unused. A lease runs from the arrival of the last renewal; the rest
@@ -39,6 +39,7 @@
     """The components of one gateway."""
 
     clock: Clock
+    node_id: NodeId
     data_centre: str
     dialect: Dialect
     view: ClusterView
@@ -57,6 +58,7 @@
     send_tracker: SendTracker
     quarantine: PromptQuarantine
     crash_reports: CrashReports
+    handover: HandoverClient
     # Largest plain answer that is held until it is complete, and largest event.
     max_held_bytes: int
 
@@ -65,10 +67,14 @@
     section: settings_pb2.GatewaySection,
     data_centre: str,
     me: Peer,
+    node_metadata: dict[str, str],
     dialect: Dialect,
     clock: Clock,
 ) -> GatewayContext:
-    """Create the components of a gateway, without any configuration."""
+    """Create the components of a gateway, without any configuration.
+
+    Calls to other nodes carry ``node_metadata``.
+    """
     view = ClusterView(me.node_id)
     fleet = FleetLoad()
     pool = ConnectionPool(
@@ -79,6 +85,9 @@
     worker_client = PooledWorkerClient(
         pool, dialect, signals, clock, section.answer_buffer_bytes
     )
+    handover = HandoverClient(
+        me.node_id, view, pool, node_metadata, clock, Random()
+    )
     outliers = OutlierTracker()
     send_tracker = SendTracker(view)
     quarantine = PromptQuarantine(clock, Random())
@@ -91,6 +100,7 @@
     signals.on_leaving = notices.announce_leaving
     return GatewayContext(
         clock=clock,
+        node_id=me.node_id,
         data_centre=data_centre,
         dialect=dialect,
         view=view,
@@ -104,7 +114,13 @@
         notices=notices,
         worker_client=worker_client,
         prober=LoadProber(
-            me.node_id, view, worker_client, dialect, signals, (notices,)
+            me.node_id,
+            view,
+            worker_client,
+            dialect,
+            signals,
+            handover.reachability,
+            (notices,),
         ),
         reservations=ReservationManager(
             worker_client,
@@ -118,6 +134,9 @@
         signals=signals,
         send_tracker=send_tracker,
         quarantine=quarantine,
-        crash_reports=CrashReports(DeathCheck(pool), quarantine, notices),
+        crash_reports=CrashReports(
+            pool, handover.reachability, quarantine, notices
+        ),
+        handover=handover,
         max_held_bytes=section.answer_buffer_bytes,
     )
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -8,9 +8,14 @@
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.gateway.context import build_context
 from verbenathread.gateway.handler import GatewayHandler
+from verbenathread.gateway.handover_server import (
+    HandoverServer,
+    HandoverService,
+)
 from verbenathread.gateway.quarantine_reports import QuarantineReports
 from verbenathread.gateway.watch import DirectoryWatch
 from verbenathread.http1.server import HttpServer, Limits
+from verbenathread.node_auth import NodeAuth
 from verbenathread.observability.logs import get_logger
 from verbenathread.observability.status_handler import StatusHandler
 from verbenathread.schema import settings_pb2
@@ -45,8 +50,15 @@
         self._clock: Clock = SystemClock()
         self._seeds = SeedFile(path, 'gateway')
         peer = Peer(settings.node.id, parse_address(section.peer_listen))
+        self._peer_listen = peer.address
+        auth = NodeAuth(settings.node)
         self.context = build_context(
-            section, settings.node.data_centre, peer, dialect, self._clock
+            section,
+            settings.node.data_centre,
+            peer,
+            auth.metadata,
+            dialect,
+            self._clock,
         )
         self.view = self.context.view
         self._watch = DirectoryWatch(
@@ -62,6 +74,9 @@
         )
         self._handler = GatewayHandler(self.context)
         self.server = HttpServer(self._handler, self._clock)
+        self._handover_server = HandoverServer(
+            HandoverService(self.context, self._handler), auth, self._clock
+        )
         status = StatusHandler(
             self.context.metrics.registry, self.why_not_ready
         )
@@ -74,6 +89,7 @@
     async def start(self) -> None:
         """Start listening and connect to the directory."""
         await self.context.notices.start()
+        await self._handover_server.start(self._peer_listen)
         await self._status.start(parse_address(self._section.ready_listen))
         if self._section.metrics_listen:
             await self._metrics.start(
@@ -85,6 +101,7 @@
             self._quarantine_reports.run,
             self._maintain,
             self.context.prober.run,
+            self.context.handover.reachability.run,
         ):
             self._tasks.append(
                 asyncio.create_task(restart_on_error(background_task))
@@ -99,19 +116,17 @@
         """Fail readiness, then drain until idle or until the stop limit."""
         until = self._clock.now() + self._section.stop_limit - _STOP_MARGIN
         self.server.stopping = True
+        self._handover_server.refuse_new()
         _log.info('Gateway stopping.', busy=self.server.busy_count())
         delay = min(_SHUTDOWN_DELAY, self._section.stop_limit)
         await asyncio.sleep(seconds(delay))
         self._handler.ends_at = until
         await self.server.drain(until)
+        await self._handover_server.drain(until)
         await self.context.reservations.close()
         await cancel_all(self._tasks)
         _log.info('Gateway stopped.', cut=self.server.busy_count())
-        self.server.close()
-        self._status.close()
-        self._metrics.close()
-        self.context.notices.stop()
-        self.context.pool.close()
+        await self._close()
 
     def reload(self) -> None:
         """Reload the seeds."""
@@ -125,6 +140,15 @@
             return 'no configuration is known yet'
         return ''
 
+    async def _close(self) -> None:
+        self.server.close()
+        self._status.close()
+        self._metrics.close()
+        await self._handover_server.close()
+        self.context.handover.close()
+        self.context.notices.stop()
+        self.context.pool.close()
+
     def _apply_limits(self, config: ServingConfig) -> None:
         limits = config.limits
         self.server.limits = Limits(*limits)
@@ -145,6 +169,7 @@
             await asyncio.sleep(seconds(_MAINTENANCE_INTERVAL))
             self._seeds.refresh()
             self.context.pool.close_expired()
+            self.context.handover.drop_unlisted()
             self.context.signals.drop_expired()
             self.context.fleet.drop_expired(self._clock.now())
             self.context.quarantine.drop_expired()
--- a/verbenathread/gateway/death_check.py
+++ b/verbenathread/gateway/death_check.py
@@ -1,12 +1,13 @@
 """Finds out whether a worker has died after a send to it broke.
 
-A connection may also break while its worker goes on: on a faulty link, or if
-the worker sends bytes that are no response.
+A connection may also break while its worker goes on: on a faulty link, if the
+worker sends bytes that are no response, or if this gateway is cut off.
 """
 
 import asyncio
 
 from verbenathread.gateway.pool import ConnectionPool
+from verbenathread.gateway.reachability import Reachability
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.types import Worker
 
@@ -16,9 +17,15 @@
 class DeathCheck:
     """Checks each incarnation once at a time, for all sends that broke."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
-        """Connect through ``pool``, which keeps the connections."""
+    def __init__(
+        self, pool: ConnectionPool, reachability: Reachability
+    ) -> None:
+        """Connect through ``pool``, which keeps the connections.
+
+        ``reachability`` tells whether a refusal comes from the worker.
+        """
         self._pool = pool
+        self._reachability = reachability
         self._check_by_key: dict[tuple[str, int], asyncio.Task[bool]] = {}
 
     def begin(self, worker: Worker) -> asyncio.Task[bool]:
@@ -39,7 +46,7 @@
         try:
             await self._pool.open_idle(worker)
         except ConnectionRefusedError:
-            died = True
+            died = not await self._reachability.check()
         except (OSError, TimeoutError) as error:
             _log.info(
                 'Could not check whether a worker has died.',
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import functools
-from collections.abc import Sequence
 
 from verbenathread.gateway.attempt import (
     Attempt,
@@ -12,7 +11,10 @@
     Verdict,
 )
 from verbenathread.gateway.context import GatewayContext
+from verbenathread.gateway.handover_client import Outcome
 from verbenathread.gateway.liveness import probe_stalled_worker
+from verbenathread.gateway.reply import Reply
+from verbenathread.gateway.request_handover import RequestHandover
 from verbenathread.gateway.request_log import RequestLog, RoutedRequest
 from verbenathread.gateway.selection import (
     Refusal,
@@ -23,7 +25,6 @@
 from verbenathread.gateway.stall_watch import StallTimeouts
 from verbenathread.http1.client import ClientConnection
 from verbenathread.http1.messages import ResponseHead, encode_request
-from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.dialect import ForwardContext
 from verbenathread.serving.types import RequestKind, Worker
@@ -35,7 +36,6 @@
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
 _SERVER_FAULT = 500
-_FIRST_FAILURE = 300
 # Failures to connect to a worker or to reserve memory after which the request
 # fails.
 _MAX_CONNECT_FAILURES = 4
@@ -63,21 +63,33 @@
         self,
         context: GatewayContext,
         routed: RoutedRequest,
-        reply: ResponseWriter,
+        reply: Reply,
     ) -> None:
         """Respond to ``routed`` on ``reply``."""
         self._context = context
+        self._reachability = context.handover.reachability
         self._routed = routed
         self._reply = reply
+        progress = routed.progress
         self._selector = WorkerSelector(
-            context, routed.service, routed.caller, routed.match.route
+            context,
+            routed.service,
+            routed.caller,
+            routed.match.route,
+            is_handed_over=progress.is_handed_over,
+        )
+        last_event_id = routed.caller.last_event_id
+        if progress.last_event_id is not None:
+            last_event_id = progress.last_event_id
+        self._relay = Relay(
+            reply, context.dialect, last_event_id, started=progress.has_head
         )
-        self._relay = Relay(reply, context.dialect, routed.caller.last_event_id)
         self._attempt: Attempt | None = None
-        self._sends = 0
+        self._sends = progress.sends
         self._connect_failures = 0
         # False as long as the request has certainly not run.
-        self._may_have_run = False
+        self._may_have_run = progress.may_have_run
+        self._handover = RequestHandover(context, routed, reply, self._relay)
         # A worker's error response, kept while another worker is tried.
         self._failure: Result | None = None
         self._log = RequestLog(context, routed)
@@ -93,6 +105,9 @@
                 return
             if self._is_quarantined():
                 return
+            if self._reachability.is_cut_off:
+                await self._hand_over()
+                continue
             selected = await self._selector.select(left)
             if isinstance(selected, Refusal):
                 self._log.refusal = selected
@@ -102,6 +117,26 @@
         if self._reply.is_disconnected and not self._reply.done:
             self._log.record_outcome('abandoned', '')
 
+    async def _hand_over(self) -> None:
+        """Let another gateway serve the request, as no worker is reached."""
+        outcome = await self._handover.run(
+            self._sends, may_have_run=self._may_have_run
+        )
+        if outcome is Outcome.ANSWERED:
+            self._log.record_outcome('handed over', '')
+            return
+        if outcome is Outcome.ABANDONED:
+            return
+        if outcome is Outcome.REFUSED:
+            self._fail(_UNAVAILABLE, 'no worker is reached', _SHORT_RETRY_AFTER)
+            return
+        self._may_have_run = True
+        self._sends += 1
+        if outcome is Outcome.TIMED_OUT:
+            self._fail(_TIMED_OUT, 'out of time', None)
+        elif not self._may_retry():
+            self._fail(_BAD_GATEWAY, outcome.value, None)
+
     async def _reserve_and_send(self, selection: Selection) -> None:
         """Send to the selected worker, reserving memory first if needed."""
         if not any(part.reserved_tokens for part in selection.parts):
@@ -110,7 +145,9 @@
         reservation = await self._selector.reserve(selection)
         if reservation is None:
             self._connect_failures += 1
-            if self._connect_failures >= _MAX_CONNECT_FAILURES:
+            if self._connect_failures < _MAX_CONNECT_FAILURES:
+                return
+            if not await self._reachability.check():
                 self._fail(
                     _UNAVAILABLE, 'no memory is free', _SHORT_RETRY_AFTER
                 )
@@ -126,9 +163,17 @@
         with contextlib.ExitStack() as stack:
             stack.callback(self._selector.record_end, selection, record)
             result = await self._connect_and_send(selection)
-            self._selector.completed_parts = self._completed_parts(result)
+            self._selector.completed_parts = (
+                self._context.crash_reports.completed_parts(
+                    self._routed.identity, result
+                )
+            )
         if result is not None:
-            await self._report_crash(selection.worker, result)
+            if result.verdict is Verdict.STALLED:
+                await self._reachability.check()
+            await self._context.crash_reports.report(
+                selection.worker, self._routed.identity, result
+            )
             self._handle_result(selection.worker, result)
 
     async def _connect_and_send(self, selection: Selection) -> Result | None:
@@ -136,6 +181,8 @@
         connection = await self._connect(selection.worker)
         if connection is None:
             self._selector.exclude(selection.worker)
+            if await self._reachability.check():
+                return None
             if self._connect_failures >= _MAX_CONNECT_FAILURES:
                 self._fail(
                     _UNAVAILABLE,
@@ -174,25 +221,6 @@
         )
         return True
 
-    def _completed_parts(self, result: Result | None) -> Sequence[str]:
-        """Return the parts that a worker certainly answered to the end."""
-        if result is None or result.head is None or result.ended_by_close:
-            return ()
-        if (
-            result.verdict is not Verdict.COMPLETE
-            or result.head.status >= _FIRST_FAILURE
-        ):
-            return ()
-        return self._context.quarantine.counted_parts(self._routed.identity)
-
-    async def _report_crash(self, worker: Worker, result: Result) -> None:
-        reports = self._context.crash_reports
-        identity = self._routed.identity
-        if result.verdict is Verdict.BROKEN:
-            await reports.report(worker, identity)
-        elif result.verdict is Verdict.COMPLETE and result.ended_by_close:
-            reports.report_close(worker, identity)
-
     async def _connect(self, worker: Worker) -> ClientConnection | None:
         context = self._context
         left = self._routed.deadline - context.clock.now()
@@ -292,6 +320,7 @@
         now = self._context.clock.now()
         self._context.outliers.record_failure(worker.worker_id, now)
         if result.verdict is Verdict.TIMED_OUT:
+            self._reachability.check_soon()
             self._fail(_TIMED_OUT, 'out of time', None)
         elif self._may_retry():
             self._selector.exclude(worker)
@@ -388,9 +417,11 @@
     def _on_disconnect(self) -> None:
         if self._attempt is not None:
             self._attempt.abandon()
+        self._handover.cancel()
         self._selector.cancel()
 
     def _on_backpressure(self, paused: bool) -> None:  # noqa: FBT001
+        self._handover.set_backpressure(paused)
         if self._attempt is not None:
             self._attempt.set_backpressure(paused)
 
--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -7,9 +7,9 @@
 from verbenathread.clock import seconds
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.exchange import Exchange
+from verbenathread.gateway.reply import NO_PROGRESS, Progress, Reply
 from verbenathread.gateway.request_log import RoutedRequest
 from verbenathread.http1.messages import Request
-from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.dialect import BadRequest, CallerRequest
 from verbenathread.serving.request_key import RequestIdentity
@@ -56,8 +56,10 @@
         # Set late in a planned stop: when the process ends what still runs.
         self.ends_at: Millis | None = None
 
-    async def handle(self, request: Request, reply: ResponseWriter) -> None:
-        """Handle one request."""
+    async def handle(
+        self, request: Request, reply: Reply, progress: Progress = NO_PROGRESS
+    ) -> None:
+        """Handle one request, which another gateway may have handed over."""
         context = self._context
         caller = context.dialect.parse_request(request)
         if isinstance(caller, BadRequest):
@@ -80,7 +82,7 @@
             status, message = _REJECTION_BY_TYPE[type(match)]
             self._reject(caller.attempt_id, status, message, reply)
             return
-        routed = self._route(request, caller, match)
+        routed = self._route(request, caller, match)._replace(progress=progress)
         if self.ends_at is not None and routed.deadline > self.ends_at:
             # Callers whose stream began before the stop were not told that the
             # connection closes, and go on using it.
@@ -142,7 +144,7 @@
         attempt_id: str,
         status: int,
         message: str,
-        reply: ResponseWriter,
+        reply: Reply,
         retry_after: Millis | None = None,
     ) -> None:
         context = self._context
--- a/verbenathread/gateway/probing.py
+++ b/verbenathread/gateway/probing.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from verbenathread.clock import seconds
+from verbenathread.gateway.reachability import Reachability
 from verbenathread.gateway.view import ClusterView
 from verbenathread.gateway.worker_client import WorkerClient
 from verbenathread.gateway.worker_signals import WorkerSignals
@@ -48,6 +49,7 @@
         client: WorkerClient,
         dialect: Dialect,
         signals: WorkerSignals,
+        reachability: Reachability,
         listeners: Iterable[ProbeListener],
     ) -> None:
         """Report the pace of the engines of ``view`` to ``listeners``."""
@@ -56,6 +58,7 @@
         self._client = client
         self._dialect = dialect
         self._signals = signals
+        self._reachability = reachability
         self._listeners = tuple(listeners)
         self._preferences = PreferredNodeCache()
         self._misses_by_id: dict[str, int] = {}
@@ -100,7 +103,7 @@
         if answer is None:
             misses = self._misses_by_id.get(worker_id, 0) + 1
             self._misses_by_id[worker_id] = misses
-            if misses >= _MAX_MISSES:
+            if misses >= _MAX_MISSES and not await self._reachability.check():
                 _log.warning('An engine is unresponsive.', worker=worker_id)
                 self._notify(
                     lambda listener: listener.on_unresponsive(worker_id)
--- /dev/null
+++ b/verbenathread/gateway/reply.py
@@ -0,0 +1,53 @@
+"""Interface to the response that a request is answered with."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
+
+
+class Reply(Protocol):
+    """A response to a caller, or to the gateway that it called."""
+
+    done: bool
+    is_disconnected: bool
+    # Called when the caller disconnects before the response is done.
+    on_disconnect: Callable[[], None] | None
+    # Called with True when too much is buffered and with False after that.
+    on_backpressure: Callable[[bool], None] | None
+
+    def send(
+        self,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+        body: bytes = b'',
+    ) -> None:
+        """Write a complete response."""
+
+    def begin(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Write the head of a response of unknown length."""
+
+    def write(self, content: bytes) -> None:
+        """Write a part of the body."""
+
+    def finish(self) -> None:
+        """Complete a response that was started with :meth:`begin`."""
+
+    def abort(self) -> None:
+        """Let the response be seen as incomplete."""
+
+
+class Progress(NamedTuple):
+    """What was done for a request before it was handed over."""
+
+    # Workers that it was sent to, and whether one may have run it.
+    sends: int = 0
+    may_have_run: bool = False
+    # The caller has the head of the response, and a stream up to this event.
+    has_head: bool = False
+    last_event_id: int | None = None
+    # The request was handed over; it is not handed over again.
+    is_handed_over: bool = False
+
+
+NO_PROGRESS = Progress()
--- a/verbenathread/gateway/request_log.py
+++ b/verbenathread/gateway/request_log.py
@@ -4,6 +4,7 @@
 
 from verbenathread.gateway.attempt import Attempt, Result, Verdict
 from verbenathread.gateway.context import GatewayContext
+from verbenathread.gateway.reply import NO_PROGRESS, Progress
 from verbenathread.gateway.selection import Refusal, Selection
 from verbenathread.http1.messages import Request
 from verbenathread.observability.logs import get_logger
@@ -29,6 +30,7 @@
     # The earlier of the caller's deadline and the route's time limit.
     deadline: Millis
     identity: RequestIdentity
+    progress: Progress = NO_PROGRESS
 
 
 class RequestLog:
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -78,13 +78,23 @@
         service: ServiceSpec,
         caller: CallerRequest,
         route: Route,
+        *,
+        is_handed_over: bool,
     ) -> None:
-        """Select among the workers of ``service``."""
+        """Select among the workers of ``service``.
+
+        ``is_handed_over`` tells that another gateway may have sent the request
+        and may still release its reservations.
+        """
         self._context = context
         self._service = service
         self._caller = caller
         self._prompt = caller.prompt or Prompt(0, 0, 0)
         self._route = route
+        # Begins the ids of sends and reservations.
+        self._id = caller.attempt_id
+        if is_handed_over:
+            self._id = f'{caller.attempt_id}-{context.node_id}'
         self._excluded: set[str] = set()
         self._sends = 0
         # The parts of the request that the last send answered to the end.
@@ -173,7 +183,7 @@
         context = self._context
         now = context.clock.now()
         self._sends += 1
-        send_id = f'{self._caller.attempt_id}/{self._sends}'
+        send_id = f'{self._id}/{self._sends}'
         engine = self._service.engine
         prompt = self._caller.prompt
         if engine is None or prompt is None:
@@ -323,7 +333,7 @@
         return helpers
 
     def _reservation_id(self) -> str:
-        return f'{self._caller.attempt_id}-{self._sends}'
+        return f'{self._id}-{self._sends}'
 
     def _max_first_event_in(self, now: Millis) -> Millis:
         """Return the longest acceptable forecast time to the first event."""
--- a/verbenathread/node_auth.py
+++ b/verbenathread/node_auth.py
@@ -1,7 +1,6 @@
 """Authenticates the calls between the nodes of one cluster."""
 
 import hmac
-from collections.abc import Mapping
 
 import grpclib
 from grpclib.events import RecvRequest, listen
@@ -18,7 +17,7 @@
 
     def __init__(self, node: settings_pb2.NodeSection) -> None:
         """Read both from the settings of this node."""
-        self.metadata: Mapping[str, str] = {
+        self.metadata: dict[str, str] = {
             _CLUSTER: node.cluster,
             _NODE_KEY: node.node_key,
         }
--- a/verbenathread/serving/retry_budget.py
+++ b/verbenathread/serving/retry_budget.py
@@ -28,6 +28,12 @@
         requests.append(now)
         self._trim(requests, now)
 
+    def forget_request(self, service: str) -> None:
+        """Uncount a caller's request that another gateway counts."""
+        requests = self._requests_by_service.get(service)
+        if requests:
+            requests.pop()
+
     def try_acquire(self, service: str, now: Millis) -> bool:
         """Count a retry and return True if one is allowed."""
         retries = self._retries_by_service.setdefault(service, deque())
