--- a/tests/test_serving_request_key.py
+++ b/tests/test_serving_request_key.py
@@ -25,6 +25,7 @@
     ('another path', {'target': b'/check/2?day=2'}, True),
     ('another query', {'target': b'/check/1?day=3'}, True),
     ('a body', {'body': b'x'}, True),
+    ('a prompt with other shared parts', {'shared_parts': ('a1',)}, True),
     (
         'the same bytes, divided otherwise',
         {'target': b'/check/1?day=', 'body': b'2'},
--- a/verbenathread/serving/request_key.py
+++ b/verbenathread/serving/request_key.py
@@ -27,9 +27,10 @@
 
     @functools.cached_property
     def key(self) -> str:
-        """Return a digest of the account, method, host, target and body.
+        """Return a digest of what makes requests the same.
 
-        It names the request in notices and logs, which must not hold bodies.
+        That is the account, method, host, target, shared parts and body. The
+        key names the request in notices and logs, which must not hold bodies.
         """
         request = self._request
         digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
@@ -38,6 +39,7 @@
             request.method,
             request.value_by_name.get(b'host', b''),
             request.target,
+            ','.join(sorted(self.shared_parts)).encode(),
             request.body,
         ):
             digest.update(len(field).to_bytes(_LENGTH_BYTES))
