--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -7,6 +7,7 @@
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_harness import Response, config, route
 from tests.standins.troubled_worker import Behaviour
+from verbenathread.serving.crash_evidence import PartGroup
 from verbenathread.serving.types import RequestKind, Route
 
 # Gateways in touch know of what crashes workers this long after it crashed
@@ -58,6 +59,8 @@
     # Requests that reached workers a contact time after the last counted
     # crash, by the reason why they crash them.
     later_sends: dict[str, int]
+    # Groups of parts that are kept from workers at the end.
+    found: frozenset[PartGroup]
     # Whether sound requests were served at the first attempt, before the first
     # crashing request and long after the last counted crash.
     served_before: list[bool]
@@ -165,8 +168,10 @@
         task.cancel()
     callers.cancel()
     await fleet.stop()
+    quarantine = fleet.gateways[0].context.quarantine
     return Outcome(
         _later_sends(fleet, counted_at_by_reason),
+        frozenset(quarantine.groups),
         callers.served(0, crashing_from),
         callers.served(observed_from, loop.time()),
     )
--- a/tests/test_gateway_crashing_request.py
+++ b/tests/test_gateway_crashing_request.py
@@ -81,3 +81,5 @@
                 for later_sends in outcome.later_sends.values():
                     self.assertLessEqual(later_sends, MAX_LATER_SENDS)
                 check_sound(self, outcome)
+                # No sound request is kept from workers.
+                self.assertEqual(len(outcome.found), len(case.crashing))
--- a/tests/test_serving_crash_evidence.py
+++ b/tests/test_serving_crash_evidence.py
@@ -155,6 +155,15 @@
             evidence.record_crash(sound, [group])
         self.assertIsNone(evidence.find(3000, [group]))
 
+    def test_one_crash_on_probation_finds_a_request_again(self):
+        crash = Crash(('w1', 1), 500, frozenset((R1,)))
+        for request, found in ((R2, None), (R1, crash.parts)):
+            with self.subTest(request=request):
+                evidence = CrashEvidence()
+                evidence.record_crash(crash, [])
+                on_probation = [frozenset((request,))]
+                self.assertEqual(evidence.find(1000, [], on_probation), found)
+
     def test_memory_is_bounded(self):
         evidence = CrashEvidence()
         for number in range(20_000):
--- a/verbenathread/directory/quarantine.py
+++ b/verbenathread/directory/quarantine.py
@@ -8,7 +8,11 @@
 from verbenathread.exceptions import VerbenathreadError
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema import directory_pb2 as messages
-from verbenathread.serving.crash_evidence import PartGroup, quarantine_time
+from verbenathread.serving.crash_evidence import (
+    MAX_GROUPS,
+    PartGroup,
+    quarantine_time,
+)
 from verbenathread.types import Millis
 
 _log = get_logger('directory')
@@ -33,6 +37,8 @@
         self._machine = machine
         self._clock = clock
         self._seen_at_by_group: dict[PartGroup, Millis] = {}
+        # Groups that this process has removed, the oldest first.
+        self._removed: dict[PartGroup, None] = {}
 
     async def add(self, group: PartGroup) -> bool:
         """Add a group; return whether it is on the log."""
@@ -66,18 +72,25 @@
             for group in self._machine.quarantine
         }
         for group, seen_at in self._seen_at_by_group.items():
-            if now - seen_at < quarantine_time(group):
+            time = quarantine_time(group, is_repeated=group in self._removed)
+            if now - seen_at < time:
                 continue
             command = messages.DirectoryCommand(
                 drop_quarantine=encode_group(group)
             )
             # Commands are proposed one at a time.
             if await self._propose(command):  # noqa: WPS476
+                self._remember_removed(group)
                 _log.info(
                     'The quarantine of these parts has ended.',
                     parts=sorted(group),
                 )
 
+    def _remember_removed(self, group: PartGroup) -> None:
+        self._removed[group] = None
+        while len(self._removed) > MAX_GROUPS:
+            self._removed.pop(next(iter(self._removed)))
+
     async def _propose(self, command: messages.DirectoryCommand) -> bool:
         try:
             await self._log.propose(
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -90,7 +90,7 @@
     )
     outliers = OutlierTracker()
     send_tracker = SendTracker(view)
-    quarantine = PromptQuarantine(clock, Random())
+    quarantine = PromptQuarantine(clock, Random(), view.is_chosen)
     handler = NoticeHandler(
         view, fleet, outliers, quarantine, signals.limits, clock
     )
--- a/verbenathread/gateway/prompt_quarantine.py
+++ b/verbenathread/gateway/prompt_quarantine.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from verbenathread.clock import Clock, seconds
+from verbenathread.gateway.probation import Probation
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.crash_evidence import (
     MAX_GROUPS,
@@ -36,8 +37,17 @@
 class PromptQuarantine:
     """The groups of parts under which workers crash."""
 
-    def __init__(self, clock: Clock, random: Random) -> None:
-        """Start without any; ``random`` spreads the reports."""
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        is_chosen: Callable[[str], bool] = bool,
+    ) -> None:
+        """Start without any; ``random`` spreads the reports.
+
+        ``is_chosen`` returns whether this gateway tries a request first, by its
+        key, once its quarantine has ended.
+        """
         self._clock = clock
         self._random = random
         self._evidence = CrashEvidence()
@@ -45,6 +55,7 @@
         # Found here and not listed yet: when to report them.
         self._report_at_by_group: dict[PartGroup, Millis] = {}
         self._known_since_by_group: dict[PartGroup, Millis] = {}
+        self._probation = Probation(clock, is_chosen)
         self._observed_at: Millis | None = None
         self._find_scheduled = False
         # Called when a group was found.
@@ -59,12 +70,14 @@
         """Return how long this request is not served; None if it is now."""
         now = self._clock.now()
         for group, known_since in self._known_since_by_group.items():
-            if _concerns(group, identity):
+            if identity.has_all(group):
                 return max(1, known_since + quarantine_time(group) - now)
-        return None
+        return self._probation.retry_after(identity)
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Return whether several workers crashed under a part of it."""
+        if self._probation.includes(identity):
+            return True
         return self._evidence.is_suspect(identity.parts, self._clock.now())
 
     def counted_parts(self, identity: RequestIdentity) -> list[str]:
@@ -75,13 +88,17 @@
         """
         parts = list(identity.shared_parts)
         evidence = self._evidence
-        if not evidence.is_empty() and evidence.has_crashes(identity.key):
+        if self._probation.includes(identity) or (
+            not evidence.is_empty() and evidence.has_crashes(identity.key)
+        ):
             parts.append(identity.key)
         return parts
 
     def record_completion(self, parts: Iterable[str]) -> None:
         """Record a complete answer to a request with these parts."""
-        self._evidence.record_completion(parts, self._clock.now())
+        completed = frozenset(parts)
+        self._evidence.record_completion(completed, self._clock.now())
+        self._probation.record_completion(completed)
 
     def record_crash(
         self,
@@ -111,7 +128,7 @@
         listed = frozenset(groups)
         now = self._clock.now()
         for group in self._listed - listed:
-            self._known_since_by_group.pop(group, None)
+            self._release(group)
             _log.info(
                 'Requests with these parts are served.', parts=_show(group)
             )
@@ -145,19 +162,28 @@
             age = now - known_since
             if group in self._listed or age < quarantine_time(group):
                 continue
-            self._known_since_by_group.pop(group)
+            self._release(group)
             self._report_at_by_group.pop(group, None)
 
+    def _release(self, group: PartGroup) -> None:
+        """End the quarantine of a group; a request is on probation then."""
+        self._known_since_by_group.pop(group, None)
+        if all(map(is_request_key, group)):
+            self._probation.add(group)
+
     def _find(self) -> None:
         self._find_scheduled = False
         while True:
-            group = self._evidence.find(self._clock.now(), self.groups)
+            group = self._evidence.find(
+                self._clock.now(), self.groups, self._probation.groups
+            )
             if group is None:
                 return
             self._add(group)
 
     def _add(self, group: PartGroup) -> None:
         """Keep a group that was found here from workers, and report it."""
+        self._probation.remove(group)
         now = self._clock.now()
         has_observed = (
             self._observed_at is not None
@@ -179,14 +205,5 @@
             self.on_found()
 
 
-def _concerns(group: PartGroup, identity: RequestIdentity) -> bool:
-    """Return whether a request has all parts of ``group``."""
-    others = group - identity.shared_parts
-    # The key is computed only if nothing but a request is left.
-    return all(is_request_key(part) for part in others) and (
-        others <= identity.parts
-    )
-
-
 def _show(group: PartGroup) -> list[str]:
     return sorted(group)
--- a/verbenathread/gateway/view.py
+++ b/verbenathread/gateway/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from verbenathread.membership.hashing import preferred_node
 from verbenathread.observability.logs import get_logger
 from verbenathread.serving.placement import PlacingGateway
 from verbenathread.serving.routes import RouteTable
@@ -186,6 +187,12 @@
         )
         return PlacingGateway(self._node_id, is_warming_up)
 
+    def is_chosen(self, key: str) -> bool:
+        """Return whether a hash assigns ``key`` to this gateway."""
+        node_ids = {peer.node_id for peer in self.notice_targets}
+        chosen = preferred_node(key, node_ids | {self._node_id})
+        return chosen == self._node_id
+
     def workers(self, service: str) -> tuple[Worker, ...]:
         """Return the workers that accept new requests of a service."""
         return self._workers_by_service.get(service, ())
--- a/verbenathread/serving/crash_evidence.py
+++ b/verbenathread/serving/crash_evidence.py
@@ -27,8 +27,12 @@
 
 # How long a found group of parts is kept from workers.
 QUARANTINE_TIME: Millis = 3_600_000
-# The same for a request, which affects one caller.
-REQUEST_QUARANTINE_TIME: Millis = 600_000
+# The same for a request. A single crash afterwards, before a complete answer,
+# finds it again, so a trial costs a worker if the finding was right, and a wrong
+# one ends soon.
+REQUEST_QUARANTINE_TIME: Millis = 60_000
+# The same for a request that was found again.
+_REPEATED_QUARANTINE_TIME: Millis = 600_000
 # Found groups that are kept; the oldest are dropped first.
 MAX_GROUPS = 64
 # Crashed workers, and moments at which they crashed, that a finding needs: one
@@ -38,6 +42,8 @@
 _SUFFICIENT_FOR_REQUEST = ((3, 2),)
 # The same for a part of a group that was found before.
 _SUFFICIENT_FOR_KNOWN = ((2, 2),)
+# The same for a request that was found before and is tried again.
+_SUFFICIENT_ON_PROBATION = ((1, 1),)
 # Crashed workers that make a part suspect.
 _SUSPECT_CRASHES = 2
 # Crashes within this time count as one moment.
@@ -110,17 +116,26 @@
                 return True
         return False
 
-    def find(self, now: Millis, found: Iterable[PartGroup]) -> PartGroup | None:
+    def find(
+        self,
+        now: Millis,
+        found: Iterable[PartGroup],
+        on_probation: Iterable[PartGroup] = (),
+    ) -> PartGroup | None:
         """Return the group of parts that explains most crashes, if any.
 
-        ``found`` are the groups found before. The crashes that the new one
-        explains count against no other part any more.
+        ``found`` are the groups found before, and ``on_probation`` the requests
+        whose quarantine has ended. The crashes that the new group explains
+        count against no other part any more.
         """
+        tried_parts = frozenset().union(*on_probation)
         known_parts = frozenset().union(*found)
         parts_by_crashes: dict[frozenset[IncarnationKey], set[str]] = {}
         for part, crashes in self._crashes_by_part(now).items():
             crashed_at = _by_incarnation(crashes)
             sufficient = _sufficient_crashes(part, known_parts)
+            if part in tried_parts:
+                sufficient = _SUFFICIENT_ON_PROBATION
             if _suffices(crashed_at.values(), sufficient):
                 explained = frozenset(crashed_at)
                 parts_by_crashes.setdefault(explained, set()).add(part)
@@ -185,11 +200,16 @@
         return crash._replace(parts=parts)
 
 
-def quarantine_time(group: PartGroup) -> Millis:
-    """Return how long a found group is kept from workers."""
-    if any(map(is_request_key, group)):
-        return REQUEST_QUARANTINE_TIME
-    return QUARANTINE_TIME
+def quarantine_time(group: PartGroup, *, is_repeated: bool = False) -> Millis:
+    """Return how long a found group is kept from workers.
+
+    ``is_repeated`` tells that it was found before.
+    """
+    if not any(map(is_request_key, group)):
+        return QUARANTINE_TIME
+    if is_repeated:
+        return _REPEATED_QUARANTINE_TIME
+    return REQUEST_QUARANTINE_TIME
 
 
 def _by_incarnation(crashes: Iterable[Crash]) -> dict[IncarnationKey, Millis]:
--- a/verbenathread/serving/request_key.py
+++ b/verbenathread/serving/request_key.py
@@ -51,6 +51,12 @@
         """Return the shared parts and, as one more part, the request."""
         return self.shared_parts | {self.key}
 
+    def has_all(self, parts: frozenset[str]) -> bool:
+        """Return whether the request has all of ``parts``."""
+        others = parts - self.shared_parts
+        # The key is computed only if nothing but a request is left.
+        return all(map(is_request_key, others)) and others <= self.parts
+
 
 def is_request_key(part: str) -> bool:
     """Return whether a part stands for a whole request."""
