--- a/verbenathread/gateway/handover_client.py
+++ b/verbenathread/gateway/handover_client.py
@@ -270,7 +270,9 @@
             async with opener.open() as stream:
                 await call_within(stream.send_request(), _CONNECT_TIMEOUT)
                 outcome = Outcome.BROKEN
-                await stream.send_message(message, end=True)
+                await call_within(
+                    stream.send_message(message, end=True), self._limit()
+                )
                 outcome = await self._receive(stream)
         except RPC_ERRORS as error:
             self.reason = repr(error)
