--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -88,7 +88,7 @@
 
     async def start(self) -> None:
         """Start listening and connect to the directory."""
-        await self.context.notices.start()
+        self.context.notices.start()
         await self._handover_server.start(self._peer_listen)
         await self._status.start(parse_address(self._section.ready_listen))
         if self._section.metrics_listen:
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -3,13 +3,12 @@
 A lost datagram only makes a placement worse, so none is retransmitted.
 """
 
-import asyncio
 from collections.abc import Sequence
-from typing import Any, cast
 
 from google.protobuf.message import DecodeError
 
 from verbenathread.gateway.notice_handler import PACE_SCALE, NoticeHandler
+from verbenathread.gateway.notice_socket import NoticeSocket
 from verbenathread.gateway.view import ClusterView
 from verbenathread.observability.logs import get_logger
 from verbenathread.schema import directory_pb2 as messages
@@ -20,7 +19,7 @@
 _log = get_logger('gateway')
 
 
-class GatewayNotices(asyncio.DatagramProtocol):
+class GatewayNotices:
     """Sends and receives notices."""
 
     def __init__(
@@ -30,20 +29,19 @@
         self._me = me
         self._view = view
         self._handler = handler
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket = NoticeSocket(self.apply)
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Start listening at this node's address."""
-        host, port = self._me.address
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=(host, port)
-        )
+        self._socket.start(self._me.address)
 
     def stop(self) -> None:
         """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
+        self._socket.stop()
+
+    def read(self) -> None:
+        """Apply the notices that have arrived, before a decision."""
+        self._socket.read()
 
     def announce_send(
         self, worker_id: str, send: Send, target_latency: Millis
@@ -141,16 +139,7 @@
             )
         )
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def error_received(self, error: Exception) -> None:
-        """Ignore the error; a gateway that is down causes it."""
-
-    def datagram_received(
-        self, content: bytes, sender: tuple[Any, ...]
-    ) -> None:
+    def apply(self, content: bytes, sender: object) -> None:
         """Apply a notice."""
         try:
             notice = messages.Notice.FromString(content)
@@ -166,9 +155,7 @@
         self._broadcast(messages.Notice(report=report))
 
     def _broadcast(self, notice: messages.Notice) -> None:
-        if self._transport is None:
-            return
         content = notice.SerializeToString()
         for peer in self._view.notice_targets:
             if peer.node_id != self._me.node_id:
-                self._transport.sendto(content, tuple(peer.address))
+                self._socket.send(content, peer.address)
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -240,6 +240,7 @@
 
     def _select_plain(self) -> Selection | Refusal:
         context = self._context
+        context.notices.read()
         now = context.clock.now()
         worker = context.plain_balancer.choose(
             self._candidates(), context.data_centre, now
@@ -272,6 +273,7 @@
 
     def _place(self) -> Placement | NoCapacity:
         context = self._context
+        context.notices.read()
         engine = self._service.engine
         now = context.clock.now()
         if engine is None:
