--- a/verbenathread/membership/hashing.py
+++ b/verbenathread/membership/hashing.py
@@ -28,7 +28,12 @@
 
 
 class PreferredNodeCache:
-    """Caches the preferred node of each key until the set of nodes changes."""
+    """Caches the preferred node of each key.
+
+    A node that is added costs one hash a key, and one that is removed only the
+    keys that it had: many nodes that start one after the other would otherwise
+    cost all hashes each time.
+    """
 
     def __init__(self) -> None:
         """Start with an empty cache."""
@@ -38,8 +43,17 @@
     def get(self, key: str, node_ids: frozenset[NodeId]) -> NodeId:
         """Return the preferred node of a key among ``node_ids``."""
         if node_ids != self._node_ids:
-            self._node_ids = node_ids
-            self._node_by_key.clear()
+            self._change_nodes(node_ids)
         if key not in self._node_by_key:
             self._node_by_key[key] = preferred_node(key, node_ids)
         return self._node_by_key[key]
+
+    def _change_nodes(self, node_ids: frozenset[NodeId]) -> None:
+        added = node_ids - self._node_ids
+        for key, node_id in tuple(self._node_by_key.items()):
+            if node_id in node_ids:
+                candidates = (node_id, *added)
+                self._node_by_key[key] = preferred_node(key, candidates)
+            else:
+                self._node_by_key.pop(key)
+        self._node_ids = node_ids
