--- a/tests/test_gateway_handover.py
+++ b/tests/test_gateway_handover.py
@@ -19,6 +19,7 @@
 # A cut is found and requests are handed over within this time.
 FOUND_S = 1.0
 REFUSAL_S = 1.0
+SLOW_S = 0.5
 
 
 class HandoverTest(IsolatedAsyncioTestCase):
@@ -174,6 +175,25 @@
             self.assertEqual(response.status, 200)
             self.assertEqual(self.runs(f'h{number}'), 1)
 
+    async def test_a_frozen_gateway_costs_one_request(self):
+        await self.start(3, cut=1)
+        second = self.fleet.gateways[1]
+        await second.handover_server.close()
+        address = self.fleet.peers[1].address
+        frozen = await asyncio.start_server(lambda *_: None, *address)
+        await self.find_cut()
+        loop = asyncio.get_running_loop()
+        slow = 0
+        for number in range(8):
+            began = loop.time()
+            response = await self.first.send(
+                '/check/1', method='GET', attempt_id=f'f{number}'
+            )
+            slow += int(loop.time() - began > SLOW_S)
+            self.assertEqual(response.status, 200)
+        self.assertLessEqual(slow, 1)
+        frozen.close()
+
     async def test_a_request_is_handed_over_once(self):
         await self.start(4, cut=4)
         await self.find_cut()
--- a/verbenathread/gateway/handover_client.py
+++ b/verbenathread/gateway/handover_client.py
@@ -8,7 +8,8 @@
 
 import contextlib
 import enum
-from collections.abc import AsyncIterator, Iterator, Mapping
+import functools
+from collections.abc import Callable, Iterator, Mapping
 from random import Random
 from typing import Protocol
 
@@ -51,6 +52,7 @@
 _UNAVAILABLE = 503
 
 _ServeStream = Stream[messages.ServeRequest, messages.ServePart]
+_OpenServe = Callable[[], _ServeStream]
 
 
 class Outcome(enum.Enum):
@@ -133,12 +135,13 @@
             call = _Call(self._clock, deadline, receiver)
             message = self._encode(request, progress)
             with self._counted(peer):
-                outcome = await call.run(self._stub(peer), message)
+                outcome = await call.run(self._opener(peer), message)
+            result = call.reason or outcome.value
+            self._log_call(request_id, progress, peer, result)
+            if outcome is Outcome.REFUSED or call.is_silent:
+                self._avoid(peer)
             if outcome is not Outcome.REFUSED:
-                self._log_call(request_id, progress, peer, outcome.value)
                 return outcome
-            self._log_call(request_id, progress, peer, call.reason)
-            self._avoid(peer)
             silent += call.is_silent
         return Outcome.REFUSED
 
@@ -175,7 +178,8 @@
         until = self._clock.now() + _UNAVAILABLE_TIME
         self._unavailable_until_by_peer[peer] = until
 
-    def _stub(self, peer: Peer) -> '_OpenServe':
+    def _opener(self, peer: Peer) -> _OpenServe:
+        """Return what opens a call to a gateway."""
         channel = self._channel_by_peer.get(peer)
         if channel is None:
             host, port = peer.address
@@ -188,7 +192,9 @@
             )
             channel = PeerChannel(host, port, config=config)
             self._channel_by_peer[peer] = channel
-        return _OpenServe(GatewayStub(channel), self._metadata)
+        return functools.partial(
+            GatewayStub(channel).Serve.open, metadata=self._metadata
+        )
 
     def _encode(
         self, request: Request, progress: Progress
@@ -233,20 +239,6 @@
         )
 
 
-class _OpenServe:
-    """Opens the call to one gateway."""
-
-    def __init__(self, stub: GatewayStub, metadata: dict[str, str]) -> None:
-        self._stub = stub
-        self._metadata = metadata
-
-    @contextlib.asynccontextmanager
-    async def open(self) -> AsyncIterator[_ServeStream]:
-        """Yield the stream of a new call."""
-        async with self._stub.Serve.open(metadata=self._metadata) as stream:
-            yield stream
-
-
 class _Call:
     """One request at one gateway."""
 
@@ -262,12 +254,12 @@
         self.is_silent = False
 
     async def run(
-        self, opener: _OpenServe, message: messages.ServeRequest
+        self, open_call: _OpenServe, message: messages.ServeRequest
     ) -> Outcome:
         """Return what became of the request."""
         outcome = Outcome.REFUSED
         try:
-            async with opener.open() as stream:
+            async with open_call() as stream:
                 await call_within(stream.send_request(), _CONNECT_TIMEOUT)
                 outcome = Outcome.BROKEN
                 await call_within(
