--- a/tests/test_gateway_probation.py
+++ b/tests/test_gateway_probation.py
@@ -1,6 +1,8 @@
 """Requests that are tried again after their quarantine."""
 
+import gc
 import unittest
+import weakref
 from types import SimpleNamespace
 
 from tests.test_serving_request_key import identity
@@ -36,6 +38,15 @@
         self.assertTrue(self.may_send(second))
         self.assertFalse(self.may_send(first))
 
+    def test_a_trial_keeps_no_body(self):
+        request = identity(body=b'x' * 100_000)
+        self.probation.add(frozenset((request.key,)))
+        self.assertTrue(self.may_send(request))
+        kept = weakref.ref(request)
+        del request
+        gc.collect()
+        self.assertIsNone(kept())
+
     def test_the_chosen_gateway_tries_first(self):
         self.is_chosen = False
         self.assertFalse(self.may_send(identity()))
--- a/verbenathread/gateway/probation.py
+++ b/verbenathread/gateway/probation.py
@@ -5,6 +5,7 @@
 probation, a crash quarantines the request again.
 """
 
+import weakref
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -22,7 +23,8 @@
 
 
 class _Trial(NamedTuple):
-    request: RequestIdentity
+    # Weak, since the request holds its body, which may be large.
+    request: weakref.ref[RequestIdentity]
     began_at: Millis
 
 
@@ -75,11 +77,11 @@
         now = self._clock.now()
         trial = self._trial_by_group.get(group)
         if trial is not None and now - trial.began_at < _TRIAL_TIME:
-            return None if trial.request is request else _RETRY_AFTER
+            return None if trial.request() is request else _RETRY_AFTER
         is_open = now - self._since_by_group[group] >= _CHOSEN_TIME
         if not is_open and not self._is_chosen(request.key):
             return _RETRY_AFTER
-        self._trial_by_group[group] = _Trial(request, now)
+        self._trial_by_group[group] = _Trial(weakref.ref(request), now)
         return None
 
     def _group(self, request: RequestIdentity) -> PartGroup | None:
