--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -12,7 +12,7 @@
 from verbenathread.gateway.notices import GatewayNotices
 from verbenathread.gateway.pool import ConnectionPool
 from verbenathread.gateway.probing import LoadProber
-from verbenathread.gateway.prompt_quarantine import PromptQuarantine
+from verbenathread.gateway.quarantine import Quarantine
 from verbenathread.gateway.reservations import ReservationManager
 from verbenathread.gateway.send_tracker import SendTracker
 from verbenathread.gateway.view import ClusterView
@@ -56,7 +56,7 @@
     metrics: GatewayMetrics
     signals: WorkerSignals
     send_tracker: SendTracker
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     crash_reports: CrashReports
     handover: HandoverClient
     # Largest plain answer that is held until it is complete, and largest event.
@@ -90,7 +90,7 @@
     )
     outliers = OutlierTracker()
     send_tracker = SendTracker(view)
-    quarantine = PromptQuarantine(clock, Random(), view.is_chosen)
+    quarantine = Quarantine(clock, Random(), view.is_chosen)
     handler = NoticeHandler(
         view, fleet, outliers, quarantine, signals.limits, clock
     )
--- a/verbenathread/gateway/crash_reports.py
+++ b/verbenathread/gateway/crash_reports.py
@@ -8,9 +8,9 @@
 from verbenathread.gateway.death_check import DeathCheck
 from verbenathread.gateway.notices import GatewayNotices
 from verbenathread.gateway.pool import ConnectionPool
-from verbenathread.gateway.prompt_quarantine import (
+from verbenathread.gateway.quarantine import (
     SETTLE_TIME,
-    PromptQuarantine,
+    Quarantine,
 )
 from verbenathread.gateway.reachability import Reachability
 from verbenathread.serving.request_key import RequestIdentity
@@ -29,7 +29,7 @@
         self,
         pool: ConnectionPool,
         reachability: Reachability,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         notices: GatewayNotices,
     ) -> None:
         """Record crashes in ``quarantine`` and announce them."""
--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -7,7 +7,8 @@
 from verbenathread.clock import seconds
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.exchange import Exchange
-from verbenathread.gateway.reply import NO_PROGRESS, Progress, Reply
+from verbenathread.gateway.progress import NO_PROGRESS, Progress
+from verbenathread.gateway.reply import Reply
 from verbenathread.gateway.request_log import RoutedRequest
 from verbenathread.http1.messages import Request
 from verbenathread.observability.logs import get_logger
--- a/verbenathread/gateway/handover_client.py
+++ b/verbenathread/gateway/handover_client.py
@@ -19,8 +19,8 @@
 
 from verbenathread.clock import Clock
 from verbenathread.gateway.pool import ConnectionPool
+from verbenathread.gateway.progress import Progress
 from verbenathread.gateway.reachability import Reachability
-from verbenathread.gateway.reply import Progress
 from verbenathread.gateway.view import ClusterView
 from verbenathread.http1.messages import Request
 from verbenathread.observability.logs import get_logger
--- a/verbenathread/gateway/handover_server.py
+++ b/verbenathread/gateway/handover_server.py
@@ -9,7 +9,7 @@
 from verbenathread.clock import Clock, seconds
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.handler import GatewayHandler
-from verbenathread.gateway.reply import Progress
+from verbenathread.gateway.progress import Progress
 from verbenathread.http1.messages import Request, index_headers
 from verbenathread.node_auth import NodeAuth
 from verbenathread.observability.logs import get_logger
--- a/verbenathread/gateway/notice_handler.py
+++ b/verbenathread/gateway/notice_handler.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from verbenathread.clock import Clock
-from verbenathread.gateway.prompt_quarantine import PromptQuarantine
+from verbenathread.gateway.quarantine import Quarantine
 from verbenathread.gateway.view import ClusterView
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.schema import directory_pb2 as messages
@@ -27,7 +27,7 @@
         view: ClusterView,
         fleet: FleetLoad,
         outliers: OutlierTracker,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         limits: WorkerLimits,
         clock: Clock,
     ) -> None:
--- a/verbenathread/gateway/prompt_quarantine.py
+++ b/verbenathread/gateway/quarantine.py
@@ -34,14 +34,19 @@
 _REPORT_DELAY: Millis = 1000
 
 
-class PromptQuarantine:
+def _is_chosen_alone(key: str) -> bool:
+    """Return whether the only gateway tries a request first: always."""
+    return True
+
+
+class Quarantine:
     """The groups of parts under which workers crash."""
 
     def __init__(
         self,
         clock: Clock,
         random: Random,
-        is_chosen: Callable[[str], bool] = bool,
+        is_chosen: Callable[[str], bool] = _is_chosen_alone,
     ) -> None:
         """Start without any; ``random`` spreads the reports.
 
--- a/verbenathread/gateway/quarantine_reports.py
+++ b/verbenathread/gateway/quarantine_reports.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from verbenathread.clock import seconds
-from verbenathread.gateway.prompt_quarantine import PromptQuarantine
+from verbenathread.gateway.quarantine import Quarantine
 from verbenathread.gateway.view import ClusterView
 from verbenathread.observability.logs import get_logger
 from verbenathread.rpc_channel import RPC_ERRORS, PeerChannel, call_within
@@ -21,9 +21,9 @@
 
 
 class QuarantineReports:
-    """Reports what :class:`PromptQuarantine` finds until it is listed."""
+    """Reports what :class:`Quarantine` finds until it is listed."""
 
-    def __init__(self, quarantine: PromptQuarantine, view: ClusterView) -> None:
+    def __init__(self, quarantine: Quarantine, view: ClusterView) -> None:
         """Report to the leader that updates ``view``."""
         self._quarantine = quarantine
         self._view = view
--- a/verbenathread/gateway/reply.py
+++ b/verbenathread/gateway/reply.py
@@ -1,7 +1,7 @@
 """Interface to the response that a request is answered with."""
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 
 class Reply(Protocol):
@@ -35,19 +35,3 @@
 
     def abort(self) -> None:
         """Let the response be seen as incomplete."""
-
-
-class Progress(NamedTuple):
-    """What was done for a request before it was handed over."""
-
-    # Workers that it was sent to, and whether one may have run it.
-    sends: int = 0
-    may_have_run: bool = False
-    # The caller has the head of the response, and a stream up to this event.
-    has_head: bool = False
-    last_event_id: int | None = None
-    # The request was handed over; it is not handed over again.
-    is_handed_over: bool = False
-
-
-NO_PROGRESS = Progress()
--- a/verbenathread/gateway/request_handover.py
+++ b/verbenathread/gateway/request_handover.py
@@ -6,7 +6,8 @@
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.handover_client import Outcome
 from verbenathread.gateway.handover_relay import HandoverRelay
-from verbenathread.gateway.reply import Progress, Reply
+from verbenathread.gateway.progress import Progress
+from verbenathread.gateway.reply import Reply
 from verbenathread.gateway.request_log import RoutedRequest
 from verbenathread.serving.types import RequestKind
 
--- a/verbenathread/gateway/request_log.py
+++ b/verbenathread/gateway/request_log.py
@@ -4,7 +4,7 @@
 
 from verbenathread.gateway.attempt import Attempt, Result, Verdict
 from verbenathread.gateway.context import GatewayContext
-from verbenathread.gateway.reply import NO_PROGRESS, Progress
+from verbenathread.gateway.progress import NO_PROGRESS, Progress
 from verbenathread.gateway.selection import Refusal, Selection
 from verbenathread.http1.messages import Request
 from verbenathread.observability.logs import get_logger
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -11,7 +11,7 @@
 from verbenathread.directory.machine import decode_group, decode_worker
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.exceptions import SettingsError
-from verbenathread.gateway.prompt_quarantine import PromptQuarantine
+from verbenathread.gateway.quarantine import Quarantine
 from verbenathread.gateway.view import ClusterView, make_peer
 from verbenathread.observability.logs import get_logger
 from verbenathread.rpc_channel import RPC_ERRORS, PeerChannel
@@ -46,7 +46,7 @@
     def __init__(
         self,
         view: ClusterView,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         seeds: SeedFile,
         me: Peer,
         read_config: Callable[[bytes], ServingConfig],
