--- a/review/harness.py
+++ b/review/harness.py
@@ -614,8 +614,14 @@
             await asyncio.sleep(0.1)
 
 
+def _end(number, frame):
+    """End the run; the deployment is closed on the way out."""
+    sys.exit(NOT_RUN)
+
+
 def main(folder, case):
     """Run ``case(record)`` and exit with its result."""
+    signal.signal(signal.SIGTERM, _end)
     record = Record(folder)
     try:
         result = asyncio.run(asyncio.wait_for(case(record), 118))
