--- a/verbenathread/daemons.py
+++ b/verbenathread/daemons.py
@@ -6,10 +6,12 @@
 import signal
 import sys
 
+from verbenathread.background_tasks import restart_on_error
 from verbenathread.command import CommandOutput
 from verbenathread.exceptions import SettingsError, StorageError
 from verbenathread.observability import logs
 from verbenathread.observability.bounded_output import BoundedOutput
+from verbenathread.observability.loop_turns import LoopTurns
 from verbenathread.schema import settings_pb2
 from verbenathread.settings.node import load_node_settings, parse_address
 
@@ -73,19 +75,23 @@
 def run_gateway(options: argparse.Namespace) -> CommandOutput:
     """Run a gateway until SIGTERM or SIGINT, then shut down cleanly."""
     settings = _load_settings('gateway', options.settings, to_stdout=True)
-    asyncio.run(_serve_gateway(settings, options.settings))
+    turns = LoopTurns()
+    with asyncio.Runner(loop_factory=turns.new_loop) as runner:
+        runner.run(_serve_gateway(settings, options.settings, turns))
     return CommandOutput('', None)
 
 
 def run_directory(options: argparse.Namespace) -> CommandOutput:
     """Run a directory process until SIGTERM or SIGINT, then shut down."""
     settings = _load_settings('directory', options.settings, to_stdout=True)
-    asyncio.run(_serve_directory(settings, options.settings))
+    turns = LoopTurns()
+    with asyncio.Runner(loop_factory=turns.new_loop) as runner:
+        runner.run(_serve_directory(settings, options.settings, turns))
     return CommandOutput('', None)
 
 
 async def _serve_gateway(
-    settings: settings_pb2.NodeSettings, path: str
+    settings: settings_pb2.NodeSettings, path: str, turns: LoopTurns
 ) -> None:
     # Imported here because only this role needs the HTTP parser and the
     # platform's dialect.
@@ -104,12 +110,15 @@
             ' the address or set another'
         )
     _freeze_startup_objects()
+    turns.export(daemon.context.metrics.registry)
+    measuring = asyncio.create_task(restart_on_error(turns.run))
     await stopping.wait()
     await daemon.stop()
+    measuring.cancel()
 
 
 async def _serve_directory(
-    settings: settings_pb2.NodeSettings, path: str
+    settings: settings_pb2.NodeSettings, path: str, turns: LoopTurns
 ) -> None:
     from verbenathread.directory.daemon import DirectoryDaemon
     from verbenathread.directory.damage import quarantine_folder
@@ -132,12 +141,15 @@
         )
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, daemon.reload)
     _freeze_startup_objects()
+    turns.export(daemon.metrics.registry)
+    measuring = asyncio.create_task(restart_on_error(turns.run))
     failed = asyncio.create_task(daemon.wait_failed())
     await asyncio.wait(
         (failed, asyncio.create_task(stopping.wait())),
         return_when=asyncio.FIRST_COMPLETED,
     )
     await daemon.stop()
+    measuring.cancel()
     if failed.done():
         raise StorageError(failed.result())
 
--- a/verbenathread/gateway/attempt.py
+++ b/verbenathread/gateway/attempt.py
@@ -128,8 +128,9 @@
         self._is_stream = False
         self._head: ResponseHead | None = None
         self._not_run = False
-        self._body: list[bytes] = []
-        self._held_bytes = 0
+        self._body = bytearray()
+        # The plain body was too large to hold; what follows is relayed at once.
+        self._is_relayed = False
         self._result: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
         )
@@ -244,7 +245,7 @@
         verdict = Verdict.NOT_RUN if self._not_run else Verdict.COMPLETE
         if self._is_stream and self._relay.events.has_partial_event:
             verdict = Verdict.BROKEN
-        body = b''.join(self._body)
+        body = bytes(self._body)
         self._result.set_result(
             Result(verdict, self._head, body, self._connection.is_until_close)
         )
@@ -270,14 +271,15 @@
     def _hold(self, head: ResponseHead, content: bytes) -> None:
         """Hold a part of a plain body, or relay it once there is too much."""
         self._stall.record_data(is_event=False)
-        self._body.append(content)
-        self._held_bytes += len(content)
-        if self._held_bytes <= self._expected.max_held_bytes:
+        self._body += content
+        is_held = len(self._body) <= self._expected.max_held_bytes
+        if is_held and not self._is_relayed:
             return
         if head.status // _STATUS_CLASS_SIZE != _SUCCESS_CLASS:
             self._stop(Verdict.BROKEN)
             return
-        self._relay.write(head, b''.join(self._body))
+        self._is_relayed = True
+        self._relay.write(head, bytes(self._body))
         self._body.clear()
 
     async def _wait(self, limit: Millis) -> None:
--- a/verbenathread/gateway/handover_client.py
+++ b/verbenathread/gateway/handover_client.py
@@ -6,6 +6,7 @@
 placing, limits and retries.
 """
 
+import asyncio
 import contextlib
 import enum
 import functools
@@ -285,6 +286,8 @@
             outcome = self._handle(part)
             if outcome is not None:
                 return outcome
+            # Parts that have arrived already are received without a wait.
+            await asyncio.sleep(0)
 
     def _limit(self) -> Millis:
         if not self._is_accepted:
--- a/verbenathread/gateway/handover_server.py
+++ b/verbenathread/gateway/handover_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 
 from grpclib.server import Server, Stream
@@ -22,6 +23,10 @@
 # Bytes that wait for the other gateway beyond which the worker's connection is
 # not read.
 _MAX_BUFFERED_BYTES = 0x40000
+# Contents are joined up to this size: a message costs as much as this many bytes.
+_MESSAGE_BYTES = 0x4000
+# Memory that a part takes beside its content.
+_PART_OVERHEAD = 200
 _DRAIN_CHECK_INTERVAL: Millis = 50
 
 _ServeStream = Stream[messages.ServeRequest, messages.ServePart]
@@ -37,7 +42,9 @@
         self.is_disconnected = False
         self.on_disconnect: Callable[[], None] | None = None
         self.on_backpressure: Callable[[bool], None] | None = None
-        self._parts: asyncio.Queue[messages.ServePart | None] = asyncio.Queue()
+        # Parts to send; None ends the call.
+        self._waiting: deque[messages.ServePart | None] = deque()
+        self._has_parts = asyncio.Event()
         self._buffered_bytes = 0
 
     def send(
@@ -66,8 +73,10 @@
 
     def write(self, content: bytes) -> None:
         """Send a part of the body."""
+        if not content:
+            return
         self._put(messages.ServePart(content=content))
-        self._buffered_bytes += len(content)
+        self._buffered_bytes += len(content) + _PART_OVERHEAD
         if self._buffered_bytes > _MAX_BUFFERED_BYTES:
             self._report_backpressure(paused=True)
 
@@ -89,22 +98,44 @@
     async def send_parts(self, stream: _ServeStream) -> None:
         """Send the parts until the response has ended."""
         while True:
-            part = await self._parts.get()
+            await self._has_parts.wait()
+            part = self._waiting.popleft()
             if part is None:
                 return
+            if part.content:
+                part = self._join_contents(part)
+            if not self._waiting:
+                self._has_parts.clear()
             await stream.send_message(part)
-            self._buffered_bytes -= len(part.content)
+            # A message that fits into the window is sent without a wait.
+            await asyncio.sleep(0)
             if self._buffered_bytes <= _MAX_BUFFERED_BYTES:
                 self._report_backpressure(paused=False)
 
+    def _join_contents(self, first: messages.ServePart) -> messages.ServePart:
+        """Return the content of ``first`` and of the parts that follow it."""
+        contents = [first.content]
+        size = len(first.content)
+        while self._waiting and size < _MESSAGE_BYTES:
+            following = self._waiting[0]
+            if following is None or not following.content:
+                break
+            self._waiting.popleft()
+            contents.append(following.content)
+            size += len(following.content)
+        self._buffered_bytes -= size + len(contents) * _PART_OVERHEAD
+        return messages.ServePart(content=b''.join(contents))
+
     def _put(self, part: messages.ServePart) -> None:
         if not self.done and not self.is_disconnected:
-            self._parts.put_nowait(part)
+            self._waiting.append(part)
+            self._has_parts.set()
 
     def _end(self) -> None:
         if not self.done:
             self.done = True
-            self._parts.put_nowait(None)
+            self._waiting.append(None)
+            self._has_parts.set()
 
     def _report_backpressure(self, *, paused: bool) -> None:
         if self.on_backpressure is not None:
--- a/verbenathread/gateway/worker_client.py
+++ b/verbenathread/gateway/worker_client.py
@@ -100,8 +100,7 @@
         self._observe = observe
         self._max_body_bytes = max_body_bytes
         self._status = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def accepts(self, head: ResponseHead) -> bool:
         """Return whether the response is not one to a caller's request."""
@@ -114,9 +113,8 @@
 
     def on_body(self, content: bytes) -> None:
         """Store a part of the body."""
-        self._body_bytes += len(content)
-        if self._body_bytes <= self._max_body_bytes:
-            self._body.append(content)
+        if len(self._body) + len(content) <= self._max_body_bytes:
+            self._body += content
         elif not self.future.done():
             _log.warning('The response to a call is too large.')
             self.future.set_result(None)
@@ -129,7 +127,7 @@
         if self.future.done():
             return
         if ending is Ending.COMPLETE:
-            body = b''.join(self._body)
+            body = bytes(self._body)
             self.future.set_result(CallResponse(self._status, body))
         else:
             self.future.set_result(None)
--- a/verbenathread/http1/client.py
+++ b/verbenathread/http1/client.py
@@ -8,6 +8,7 @@
 
 from verbenathread.clock import Clock, seconds
 from verbenathread.http1.messages import ResponseHead, index_headers
+from verbenathread.http1.reading import BoundedReader
 from verbenathread.observability.logs import get_logger
 from verbenathread.types import Address, Millis
 
@@ -73,7 +74,7 @@
         """Handle the end of the exchange."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedReader):
     """A client connection that can be reused for further requests."""
 
     def __init__(
@@ -92,6 +93,9 @@
         self._body_bytes = 0
         self._body_parts = 0
         self._skipped_bytes = 0
+        # Parts of the body that the sink receives together once all that was
+        # read is parsed.
+        self._unsent_parts: list[bytes] = []
         self._transport: asyncio.Transport | None = None
         self._sink: Sink | None = None
         self._open = False
@@ -203,6 +207,7 @@
             self.close()
             self._end(Ending.BROKEN)
             return
+        self._send_parts()
         if self._sink is not None and self._exceeds_limits():
             _log.warning(
                 'A response exceeds a limit.',
@@ -251,13 +256,11 @@
             self._end(Ending.COMPLETE)
 
     def on_body(self, content: bytes) -> None:
-        """Pass a part of the body to the sink."""
+        """Store a part of the body for the sink."""
         if self._skipping:
             self._skipped_bytes += len(content)
         elif self._sink is not None:
-            self._body_bytes += len(content)
-            self._body_parts += 1
-            self._sink.on_body(content)
+            self._unsent_parts.append(content)
 
     def on_message_complete(self) -> None:
         """End the exchange."""
@@ -267,6 +270,7 @@
         ):
             self._skipping = False
             return
+        self._send_parts()
         if self._sink is None:
             return
         if self._trailers:
@@ -279,6 +283,18 @@
             self._reusable = False
         self._end(Ending.COMPLETE)
 
+    def _send_parts(self) -> None:
+        """Pass the stored parts of the body to the sink."""
+        parts = self._unsent_parts
+        if not parts:
+            return
+        content = b''.join(parts)
+        self._body_bytes += len(content)
+        self._body_parts += len(parts)
+        parts.clear()
+        if self._sink is not None:
+            self._sink.on_body(content)
+
     def _exceeds_limits(self) -> bool:
         """Return whether the upstream sent more than any response needs."""
         limits = self._limits
@@ -297,6 +313,7 @@
                 )
 
     def _end(self, ending: Ending) -> None:
+        self._send_parts()
         self._last_used = self._clock.now()
         sink = self._sink
         self._sink = None
--- a/verbenathread/http1/messages.py
+++ b/verbenathread/http1/messages.py
@@ -60,13 +60,12 @@
 
 def index_headers(headers: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
     """Return values by lower-case name, with repeated headers joined."""
-    value_by_name: dict[bytes, bytes] = {}
+    values_by_name: dict[bytes, list[bytes]] = {}
     for name, text in headers:
-        lower = name.lower()
-        previous = value_by_name.get(lower)
-        value_by_name[lower] = (
-            text if previous is None else b', '.join((previous, text))
-        )
+        values_by_name.setdefault(name.lower(), []).append(text)
+    value_by_name = {}
+    for lower, values in values_by_name.items():
+        value_by_name[lower] = b', '.join(values)
     return value_by_name
 
 
--- a/verbenathread/http1/server.py
+++ b/verbenathread/http1/server.py
@@ -8,6 +8,7 @@
 
 from verbenathread.clock import Clock, seconds
 from verbenathread.http1.messages import Request, index_headers
+from verbenathread.http1.reading import BoundedReader
 from verbenathread.http1.response import ResponseWriter
 from verbenathread.observability.logs import get_logger
 from verbenathread.types import Address, Millis
@@ -23,6 +24,9 @@
 # A draining server closes a connection after this time without a request: one
 # that was just accepted may have sent its first request already.
 _DRAIN_IDLE: Millis = 300
+# How long what a client still sends is read and dropped after an error. Closing
+# a socket with unread data resets it, and the client could lose the response.
+_LINGER_TIME: Millis = 1000
 # Length of the kernel's accept queue.
 _BACKLOG = 1024
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -134,7 +138,7 @@
                 connection.check_timeouts(now)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(BoundedReader):
     """One client connection."""
 
     def __init__(self, server: HttpServer) -> None:
@@ -240,11 +244,11 @@
     def on_body(self, content: bytes) -> None:
         """Store a part of the body."""
         partial = self._partial
-        partial.body_bytes += len(content)
-        if partial.body_bytes > self._server.limits.body_bytes:
+        size = len(partial.body) + len(content)
+        if size > self._server.limits.body_bytes:
             self._set_error(_TOO_LARGE, b'the body is too large')
         if self._error is None:
-            partial.body.append(content)
+            partial.body += content
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -258,7 +262,7 @@
                 partial.target,
                 headers,
                 index_headers(headers),
-                b''.join(partial.body),
+                bytes(partial.body),
                 self._last_active,
             )
         )
@@ -324,7 +328,14 @@
     def close(self) -> None:
         """Close once all buffered data is written."""
         self._closing = True
-        self._transport.close()
+        if self._error is None or not self._error.status:
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        asyncio.get_running_loop().call_later(
+            seconds(_LINGER_TIME), self._transport.close
+        )
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -379,8 +390,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
         self.head_complete = False
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
 
     def head_too_large(self, limits: Limits) -> bool:
         """Return whether an incomplete head exceeds the limit."""
