--- /dev/null
+++ b/tests/test_gateway_repeated_sends.py
@@ -0,0 +1,92 @@
+"""Several sends of one attempt, whose id can't tell their answers apart."""
+
+import asyncio
+
+from tests.gateway_harness import GatewayHarness, config, route
+from tests.standins.platform_worker import (
+    LAST_CHUNK,
+    chunk,
+    event,
+    signed_response,
+    stream_head,
+)
+from tests.test_gateway_relay import GatewayTest
+from verbenathread.serving.types import RequestKind
+
+ONCE = config(
+    routes=(
+        route('note', RequestKind.STREAM, 'desk', resumable=False),
+        route('hold', RequestKind.AT_MOST_ONCE, 'ledger', max_attempts=2),
+    )
+)
+
+
+def refusal(received, faulty_worker):
+    """Return a refusal that names another worker at fault."""
+    return (
+        'HTTP/1.1 503 Service Unavailable\r\n'
+        f'Attempt-Id: {received.attempt_id}\r\nNot-Executed: 1\r\n'
+        f'At-Server: {faulty_worker}\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
+class LateCopyWorker:
+    """Refuses an attempt, then sends a second copy before its answer."""
+
+    def __init__(self, is_stream):
+        self.is_stream = is_stream
+        self.refused = {}
+        self.ran = []
+        self.__name__ = 'late_copy'
+
+    async def __call__(self, received, writer):
+        """Refuse the first send of an attempt and run the second one."""
+        attempt_id = received.attempt_id
+        if attempt_id not in self.refused:
+            self.refused[attempt_id] = writer
+            writer.write(refusal(received, 'another-worker'))
+            return
+        self.ran.append(attempt_id)
+        # It reaches the gateway on the connection of the first send.
+        self.refused[attempt_id].write(refusal(received, 'another-worker'))
+        await asyncio.sleep(0.05)
+        if not self.is_stream:
+            writer.write(signed_response(received, b'booked'))
+            return
+        writer.write(stream_head(received) + chunk(event(1)) + LAST_CHUNK)
+
+
+class RepeatedSendTest(GatewayTest):
+    # A caller was told "not run" of a request that had run, from a late copy of
+    # the refusal of an earlier send.
+    async def test_late_copy_of_a_refusal_is_no_answer(self):
+        for path, service in (('/note/1', 'desk'), ('/hold/1', 'ledger')):
+            with self.subTest(path=path):
+                self.harness = GatewayHarness()
+                worker = LateCopyWorker(is_stream=service == 'desk')
+                await self.harness.start({'w0': (service, worker)}, ONCE)
+                for number in range(3):
+                    attempt_id = f'a{number}'
+                    response = await self.harness.send(
+                        path, attempt_id=attempt_id
+                    )
+                    self.assertEqual(worker.ran[-1], attempt_id)
+                    self.assertEqual(response.status, 200)
+                await self.harness.stop()
+
+    # The same if the caller sends the attempt once more itself.
+    async def test_attempt_that_the_caller_repeats(self):
+        worker = LateCopyWorker(is_stream=False)
+        once = config(
+            routes=(
+                route(
+                    'hold', RequestKind.AT_MOST_ONCE, 'ledger', max_attempts=1
+                ),
+            )
+        )
+        await self.harness.start({'w0': ('ledger', worker)}, once)
+        first = await self.harness.send('/hold/1')
+        self.assertEqual(first.status, 503)
+        second = await self.harness.send('/hold/1')
+        self.assertEqual(worker.ran, ['a1'])
+        self.assertEqual(second.status, 200)
--- a/verbenathread/gateway/attempt.py
+++ b/verbenathread/gateway/attempt.py
@@ -159,7 +159,10 @@
         ``probe`` returns whether a worker that sends nothing is alive.
         """
         self._connection.send_request(
-            request, self, head_only=self._expected.head_only
+            request,
+            self,
+            exchange_id=self._expected.attempt_id,
+            head_only=self._expected.head_only,
         )
         while not self._result.done():
             now = self._clock.now()
@@ -193,7 +196,10 @@
         self._connection.set_reading_paused(paused)
 
     def accepts(self, head: ResponseHead) -> bool:
-        """Return whether this head belongs to the awaited response."""
+        """Return whether this head belongs to the awaited response.
+
+        The attempt's id does, as no earlier send of it used this connection.
+        """
         response = self._dialect.parse_response(head)
         if response.attempt_id == self._expected.attempt_id:
             return True
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -225,7 +225,9 @@
         context = self._context
         left = self._routed.deadline - context.clock.now()
         try:
-            return await context.pool.acquire(worker, left)
+            return await context.pool.acquire(
+                worker, left, self._routed.caller.attempt_id
+            )
         except (OSError, TimeoutError) as error:
             self._connect_failures += 1
             context.outliers.record_failure(
--- a/verbenathread/gateway/pool.py
+++ b/verbenathread/gateway/pool.py
@@ -28,16 +28,21 @@
         self._idle_by_id: dict[str, list[ClientConnection]] = {}
 
     async def acquire(
-        self, worker: Worker, time_left: Millis
+        self, worker: Worker, time_left: Millis, exchange_id: str = ''
     ) -> ClientConnection:
-        """Return an open connection; raises OSError or TimeoutError."""
+        """Return an open connection that never carried ``exchange_id``.
+
+        Raises OSError or TimeoutError if a new one can't be opened.
+        """
         idle = self._idle_by_id.get(worker.worker_id, [])
         now = self._clock.now()
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable(now):
+        for connection in reversed(tuple(idle)):
+            if not connection.is_reusable(now):
+                idle.remove(connection)
+                connection.close()
+            elif not connection.has_carried(exchange_id):
+                idle.remove(connection)
                 return connection
-            connection.close()
         return await self._open(worker, time_left)
 
     async def open_idle(self, worker: Worker) -> None:
--- a/verbenathread/http1/client.py
+++ b/verbenathread/http1/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from collections import deque
 from typing import NamedTuple, Protocol
 
 import httptools
@@ -27,6 +28,9 @@
 # upstream closes the connection.
 _KEEP_ALIVE_MARGIN: Millis = 700
 _MS_PER_SECOND = 1000
+# Exchanges whose ids a connection remembers. A second copy of a response comes
+# with one of the next exchanges and ends the use of the connection.
+_MAX_EXCHANGE_IDS = 64
 # Most bytes that frame one part of a body: the size of a chunk and line ends.
 _MAX_CHUNK_FRAMING = 32
 
@@ -85,6 +89,8 @@
         self._limits = limits
         # Exchanges begun on this connection.
         self._exchanges = 0
+        # Ids of the latest of them, of those that have one.
+        self._exchange_ids: deque[str] = deque(maxlen=_MAX_EXCHANGE_IDS)
         # The request has the method HEAD, so its response has no body.
         self._head_only = False
         # Bytes received in this exchange: all, and those of bodies that were
@@ -144,6 +150,14 @@
         """Return whether the response body ends with the connection."""
         return self._until_close
 
+    def has_carried(self, exchange_id: str) -> bool:
+        """Return whether an earlier exchange here had this id.
+
+        A second copy of its response, which may come late, could not be told
+        from the response to another exchange with the same id.
+        """
+        return exchange_id in self._exchange_ids
+
     def is_reusable(self, now: Millis) -> bool:
         """Return whether another request can be sent."""
         if not self._open or not self._reusable or self._sink is not None:
@@ -153,16 +167,24 @@
         return now - self._last_used < self._keep_alive
 
     def send_request(
-        self, request: bytes, sink: Sink, *, head_only: bool = False
+        self,
+        request: bytes,
+        sink: Sink,
+        *,
+        exchange_id: str = '',
+        head_only: bool = False,
     ) -> None:
         """Send a request; ``sink`` receives the response.
 
+        ``exchange_id`` is the id that the response repeats, if it has one.
         ``head_only`` is for the method HEAD, whose response has no body.
         """
         if self._transport is None:
             raise RuntimeError('the connection is not established yet')
         self._sink = sink
         self._exchanges += 1
+        if exchange_id:
+            self._exchange_ids.append(exchange_id)
         self._head_only = head_only
         self._received_bytes = 0
         self._body_bytes = 0
