--- a/tests/test_gateway_reservations.py
+++ b/tests/test_gateway_reservations.py
@@ -4,7 +4,13 @@
 import json
 import unittest
 
-from tests.gateway_harness import worker
+from tests.gateway_harness import GatewayHarness, config, route, worker
+from tests.standins.platform_worker import (
+    LAST_CHUNK,
+    chunk,
+    event,
+    stream_head,
+)
 from tests.virtual_loop import run_virtual
 from verbenathread.clock import LoopClock
 from verbenathread.gateway.reservations import (
@@ -14,6 +20,7 @@
 )
 from verbenathread.gateway.worker_client import CallResponse
 from verbenathread.platform.headers import PlatformDialect
+from verbenathread.serving.types import RequestKind
 from verbenathread.types import Address
 
 LEASE = 3200
@@ -176,3 +183,64 @@
                 self.assertEqual(workers.reserving(), {'w0', 'w1'})
 
         self.run_scenario(scenario)
+
+
+class OrderedWorkers:
+    """Engines that record the orders they get; the first reserve fails."""
+
+    def __init__(self):
+        self.has_failed = False
+        self.released = []
+        self.helpers = ''
+        # Ids that were released while a prompt used them.
+        self.lost = []
+
+    async def __call__(self, received, writer):
+        """Carry out an order, or stream an answer."""
+        if not received.request_line.startswith('POST /order'):
+            await self.stream(received, writer)
+            return
+        order = json.loads(received.body)
+        if order['operation'] == 'release':
+            self.released.append(order['id'])
+        fails = order['operation'] == 'reserve' and not self.has_failed
+        self.has_failed = True
+        status = b'409 Conflict' if fails else b'200 OK'
+        writer.write(b'HTTP/1.1 %b\r\nContent-Length: 2\r\n\r\n{}' % status)
+
+    async def stream(self, received, writer):
+        """Answer a prompt whose memory is reserved."""
+        self.helpers = received.header_by_name['helpers']
+        writer.write(stream_head(received))
+        await asyncio.sleep(0.3)
+        for reservation_id in self.released:
+            if reservation_id in self.helpers:
+                self.lost.append(reservation_id)
+        writer.write(chunk(event(1)) + LAST_CHUNK)
+
+
+class ReservationIdTest(unittest.IsolatedAsyncioTestCase):
+    # The releases of a reservation that failed took the memory of the next one
+    # of the same prompt, which had the same id.
+    async def test_a_failed_reservation_does_not_release_the_next_one(self):
+        harness = GatewayHarness()
+        workers = OrderedWorkers()
+        log = route(
+            'log',
+            RequestKind.STREAM,
+            'desk',
+            time_limit=15_000,
+            target_latency=3000,
+        )
+        await harness.start(
+            {f'w{number}': ('desk', workers) for number in range(5)},
+            config(routes=(log,)),
+        )
+        response = await harness.send(
+            '/log/1', headers='Token-Usage: 300000,50\r\n'
+        )
+        self.assertEqual(response.status, 200)
+        self.assertIn('/a1-', workers.helpers)
+        self.assertNotEqual(workers.released, [])
+        self.assertEqual(workers.lost, [])
+        await harness.stop()
--- a/verbenathread/gateway/reservations.py
+++ b/verbenathread/gateway/reservations.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple
 
@@ -77,6 +78,15 @@
         self._clock = clock
         self._lease = lease
         self._tasks: set[asyncio.Task[None]] = set()
+        self._numbers = itertools.count(1)
+
+    def new_id(self, request_id: str) -> str:
+        """Return an id for one reservation.
+
+        Releases are repeated, so a later reservation for the same request must
+        not have the same id.
+        """
+        return f'{request_id}-{next(self._numbers)}'
 
     async def reserve(
         self, reservation_id: str, shares: Sequence[MemoryShare]
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -50,6 +50,8 @@
     pace: float = 1
     parts: tuple[PromptPart, ...] = ()
     helpers: Sequence[Helper] = ()
+    # The id under which memory is reserved for this send alone.
+    reservation_id: str = ''
 
 
 class Refusal(NamedTuple):
@@ -171,7 +173,7 @@
             if part.reserved_tokens and worker is not None:
                 shares.append(MemoryShare(worker, part.reserved_tokens))
         reservation = await self._context.reservations.reserve(
-            self._reservation_id(), shares
+            selection.reservation_id, shares
         )
         if isinstance(reservation, Reservation):
             return reservation
@@ -308,6 +310,7 @@
 
     def _selection(self, placement: Placement) -> Selection:
         load = self._context.fleet.load(placement.worker.worker_id)
+        reservation_id = self._context.reservations.new_id(self._id)
         priority = _SHORT_PRIORITY
         if self._prompt.tokens > LONG_PROMPT_TOKENS:
             priority = _LONG_PRIORITY
@@ -318,25 +321,27 @@
             len(load.send_by_id),
             load.pace,
             placement.parts,
-            self._helpers(placement.parts),
+            self._helpers(placement.parts, reservation_id),
+            reservation_id,
         )
 
-    def _helpers(self, parts: Sequence[PromptPart]) -> list[Helper]:
+    def _helpers(
+        self, parts: Sequence[PromptPart], reservation_id: str
+    ) -> list[Helper]:
         """Return the helpers with their addresses and reservations."""
         helpers = []
         for part in parts:
             worker = self._context.view.worker_by_id.get(part.worker_id)
             if worker is None:
                 continue
-            reservation_id = (
-                self._reservation_id() if part.reserved_tokens else ''
+            helpers.append(
+                Helper(
+                    worker.address,
+                    reservation_id if part.reserved_tokens else '',
+                )
             )
-            helpers.append(Helper(worker.address, reservation_id))
         return helpers
 
-    def _reservation_id(self) -> str:
-        return f'{self._id}-{self._sends}'
-
     def _max_first_event_in(self, now: Millis) -> Millis:
         """Return the longest acceptable forecast time to the first event."""
         route = self._route
