--- a/tests/test_serving_registry.py
+++ b/tests/test_serving_registry.py
@@ -46,6 +46,17 @@
             ([worker(), worker('w2', born=11)], {'w1': GONE, 'w2': READY}),
             ([worker('w2', born=11), worker()], {'w2': READY}),
             ([worker(), worker('w2', port=81)], {'w1': READY, 'w2': READY}),
+            # An address that a worker has left names it no more.
+            (
+                [worker(), worker(born=11, port=81), worker('w2', born=12)],
+                {'w1': READY, 'w2': READY},
+            ),
+            # The late leave of a worker that was dropped before concerns none
+            # of those at its address.
+            (
+                [worker('w2', born=11), worker(state=GONE)],
+                {'w1': GONE, 'w2': READY},
+            ),
         )
         for updates, expected in cases:
             with self.subTest(updates=updates):
--- a/verbenathread/serving/registry.py
+++ b/verbenathread/serving/registry.py
@@ -27,17 +27,16 @@
         """
         if not self.would_change(worker):
             return False
+        self._remove(worker.worker_id)
+        if worker.state is WorkerState.GONE:
+            self.worker_by_id[worker.worker_id] = worker
+            self._evict_oldest_gone()
+            return True
         other_id = self._id_by_address.get(worker.address)
-        if other_id is not None and other_id != worker.worker_id:
+        if other_id is not None:
             self._mark_gone(other_id)
-        self.worker_by_id.pop(worker.worker_id, None)
         self.worker_by_id[worker.worker_id] = worker
-        if worker.state is WorkerState.GONE:
-            if other_id == worker.worker_id:
-                self._id_by_address.pop(worker.address)
-            self._evict_oldest_gone()
-        else:
-            self._id_by_address[worker.address] = worker.worker_id
+        self._id_by_address[worker.address] = worker.worker_id
         return True
 
     def would_change(self, worker: Worker) -> bool:
@@ -72,8 +71,7 @@
             return True
         if known.state is WorkerState.GONE:
             return False
-        self.worker_by_id.pop(worker_id)
-        self._id_by_address.pop(known.address, None)
+        self._remove(worker_id)
         return True
 
     def live_workers(self) -> Iterable[Worker]:
@@ -83,11 +81,20 @@
                 yield worker
 
     def _mark_gone(self, worker_id: str) -> None:
-        known = self.worker_by_id.pop(worker_id)
+        known = self._remove(worker_id)
+        if known is not None:
+            gone = known._replace(state=WorkerState.GONE)
+            self.worker_by_id[worker_id] = gone
+            self._evict_oldest_gone()
+
+    def _remove(self, worker_id: str) -> Worker | None:
+        """Remove a worker, and its address unless another one has it."""
+        known = self.worker_by_id.pop(worker_id, None)
+        if known is None:
+            return None
         if self._id_by_address.get(known.address) == worker_id:
             self._id_by_address.pop(known.address)
-        self.worker_by_id[worker_id] = known._replace(state=WorkerState.GONE)
-        self._evict_oldest_gone()
+        return known
 
     def _evict_oldest_gone(self) -> None:
         gone = []
