--- a/tests/test_gateway_repeated_sends.py
+++ b/tests/test_gateway_repeated_sends.py
@@ -90,3 +90,17 @@
         second = await self.harness.send('/hold/1')
         self.assertEqual(worker.ran, ['a1'])
         self.assertEqual(second.status, 200)
+
+    async def test_route_without_attempts_sends_nothing(self):
+        worker = LateCopyWorker(is_stream=False)
+        closed = config(
+            routes=(
+                route(
+                    'hold', RequestKind.AT_MOST_ONCE, 'ledger', max_attempts=0
+                ),
+            )
+        )
+        await self.harness.start({'w0': ('ledger', worker)}, closed)
+        response = await self.harness.send('/hold/1')
+        self.assertEqual(response.status, 503)
+        self.assertEqual(worker.refused, {})
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -255,6 +255,25 @@
         self.assertEqual(response.status, 503)
         self.assertEqual(len(self.worker.requests), arrived)
 
+    # After the last client account was taken away, any key was good.
+    async def test_restarts_keep_an_empty_list_of_accounts(self):
+        await self.until(self.accepts_config(body(5, tenants=[])))
+        await self.until(self.refuses_all)
+        for name in ('directory', 'gateway'):
+            started = self.processes.by_name[name]
+            started.send_signal(signal.SIGKILL)
+            started.wait(5)
+            self.start(name)
+        await self.until(self.refuses_all)
+        self.assertEqual(await self.readiness(), 200)
+
+    async def refuses_all(self):
+        statuses = set()
+        for headers in ('', 'Authorization: Bearer any\r\n'):
+            response = await self.send_request('k1', headers)
+            statuses.add(response.status)
+        return statuses == {401}
+
     async def test_a_reload_signal_during_startup_is_ignored(self):
         for name in ('gateway', 'directory'):
             with self.subTest(name):
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -103,7 +103,7 @@
             if left <= 0:
                 self._fail(_TIMED_OUT, 'out of time', None)
                 return
-            if self._is_quarantined():
+            if self._is_refused():
                 return
             if self._reachability.is_cut_off:
                 await self._hand_over()
@@ -209,6 +209,13 @@
             return False
         return True
 
+    def _is_refused(self) -> bool:
+        """Fail the request if it may be sent to no worker."""
+        if not self._routed.match.route.max_attempts:
+            self._fail(_UNAVAILABLE, 'the route allows no attempts', None)
+            return True
+        return self._is_quarantined()
+
     def _is_quarantined(self) -> bool:
         """Fail the request if it, or a part of its prompt, crashes workers."""
         retry_after = self._context.quarantine.retry_after(
--- a/verbenathread/gateway/quarantine.py
+++ b/verbenathread/gateway/quarantine.py
@@ -130,7 +130,8 @@
 
     def apply_list(self, groups: Iterable[PartGroup]) -> None:
         """Apply the groups that the directory lists now."""
-        listed = frozenset(groups)
+        # Every request has all parts of an empty group.
+        listed = frozenset(filter(None, groups))
         now = self._clock.now()
         for group in self._listed - listed:
             self._release(group)
--- a/verbenathread/platform/bodies.py
+++ b/verbenathread/platform/bodies.py
@@ -34,6 +34,9 @@
 )
 
 
+# The log keeps versions as 64-bit integers.
+_MAX_VERSION: Final = (1 << 63) - 1  # noqa: WPS432
+
 # Raised by decoding a body with missing fields or values of the wrong type.
 MALFORMED_BODY_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
 
@@ -42,8 +45,38 @@
     """A JSON body is invalid; the message states the reason."""
 
 
+def decode_new_config(body: bytes) -> ServingConfig:
+    """Decode and validate an operator's configuration.
+
+    Raises InvalidBodyError, also for values that could be taken for others.
+    """
+    config = decode_config(body)
+    if not 1 <= config.version <= _MAX_VERSION:
+        raise InvalidBodyError(
+            f'the version {config.version} is out of range; begin with 1'
+        )
+    document = read_object(body)
+    if not isinstance(document.get('tenants', []), list):
+        raise InvalidBodyError(
+            'tenants is not a list; leave it out to serve requests without'
+            ' keys, or send an empty list to refuse them'
+        )
+    for tenant in document.get('tenants', ()):
+        if not isinstance(tenant['api-keys'], list):
+            raise InvalidBodyError(f'{tenant["name"]}: api-keys is not a list')
+    for route in document['routes']:
+        error = _ambiguity_of(route)
+        if error:
+            raise InvalidBodyError(f'{route["name"]}: {error}')
+    return config
+
+
 def decode_config(body: bytes) -> ServingConfig:
-    """Decode and validate a configuration; raises InvalidBodyError."""
+    """Decode a configuration; raises InvalidBodyError.
+
+    Values that could be taken for others, which earlier versions accepted,
+    open nothing.
+    """
     document = read_object(body)
     try:
         config = _decode_config(document)
@@ -83,7 +116,11 @@
         routes=routes,
         service_by_name=service_by_name,
         limits=ClientLimits(*numbers),
-        account_by_key=_decode_accounts(document.get('tenants')),
+        account_by_key=(
+            _decode_accounts(document['tenants'] or ())
+            if 'tenants' in document
+            else None
+        ),
     )
 
 
@@ -110,6 +147,7 @@
 
 def _decode_route(fields: Mapping[str, Any]) -> Route:
     split = fields.get('traffic-split')
+    attempts = fields.get('attempts')
     if split:
         targets = tuple(
             Target(read_text(part['service']), read_integer(part['weight']))
@@ -126,16 +164,15 @@
         target_latency=int(fields.get('target-latency-ms') or 0),
         priority=int(fields.get('priority') or 0),
         targets=targets,
-        max_attempts=max(1, int(fields.get('attempts') or 1)),
-        public=bool(fields.get('public')),
-        resumable=bool(fields.get('resumable')),
+        max_attempts=1 if attempts is None else max(0, int(attempts)),
+        public=fields.get('public') is True,
+        resumable=fields.get('resumable') is True,
         target_pause=int(fields.get('target-gap-ms') or 0),
     )
 
 
-def _decode_accounts(tenants: Any) -> Mapping[str, ClientAccount] | None:
-    if not tenants:
-        return None
+def _decode_accounts(tenants: Any) -> Mapping[str, ClientAccount]:
+    """Return the accounts by key; no key is good if there are none."""
     account_by_key: dict[str, ClientAccount] = {}
     for tenant in tenants:
         priority = tenant.get('priority')
@@ -143,7 +180,8 @@
             read_text(tenant['name']),
             None if priority is None else int(priority),
         )
-        for key in tenant['api-keys']:
+        keys = tenant['api-keys']
+        for key in keys if isinstance(keys, list) else ():
             other = account_by_key.setdefault(read_text(key), account)
             if other is not account:
                 raise InvalidBodyError(
@@ -153,6 +191,19 @@
     return account_by_key
 
 
+def _ambiguity_of(route: Mapping[str, Any]) -> str:
+    """Return which value of a route could be taken for another, if any."""
+    for name in ('public', 'resumable'):
+        if not isinstance(route.get(name), bool | None):
+            return f'{name} must be true or false'
+    split = route.get('traffic-split')
+    if split is not None and not split:
+        return 'its traffic-split is empty; name a service and its weight'
+    if int(route.get('attempts') or 0) < 0:
+        return 'its attempts must not be negative'
+    return ''
+
+
 def _check_routes(config: ServingConfig) -> None:
     matches = set()
     for route in config.routes:
--- a/verbenathread/platform/directory_handler.py
+++ b/verbenathread/platform/directory_handler.py
@@ -81,7 +81,7 @@
         self, path: str, request: Request, response: ResponseWriter
     ) -> None:
         if path == _PUT_CONFIG:
-            config = bodies.decode_config(request.body)
+            config = bodies.decode_new_config(request.body)
             await self._calls.put_config(config.version, request.body)
             response.send(_OK, _JSON, b'{}')
         elif path == _GET_CONFIG:
--- a/verbenathread/serving/types.py
+++ b/verbenathread/serving/types.py
@@ -38,7 +38,7 @@
     # 0 is the highest.
     priority: int
     targets: tuple[Target, ...]
-    # Maximum number of workers that one request is sent to.
+    # Maximum number of workers that one request is sent to; 0 sends none.
     max_attempts: int
     # Served without an API key.
     public: bool
@@ -103,7 +103,7 @@
     routes: tuple[Route, ...]
     service_by_name: Mapping[str, ServiceSpec]
     limits: ClientLimits
-    # None if requests are served without keys.
+    # None if requests are served without keys; if empty, no key is good.
     account_by_key: Mapping[str, ClientAccount] | None
 
 
