--- a/tests/test_gateway_endless_bytes.py
+++ b/tests/test_gateway_endless_bytes.py
@@ -332,3 +332,96 @@
         response = await context.worker_client.call(target, call, 2000)
         self.assertIsNotNone(response)
         self.assertIn(b'kv-total', response.body)
+
+
+class TogetherTest(GatewayTest):
+    # Each answer was within its limit, and all of them took the memory of the
+    # gateway, with the requests of all its callers.
+    async def test_all_incomplete_answers_are_bounded_together(self):
+        held = 400_000
+        for service, path, begin in (
+            ('desk', '/note/1', endless_event),
+            ('ledger', '/check/1', endless_failure),
+        ):
+            with self.subTest(begin=begin.__name__):
+                self.harness = GatewayHarness(held_bytes=held)
+                await self.check(service, path, begin, held)
+                await self.harness.stop()
+
+    async def check(self, service, path, begin, held):
+        """Let many answers stop just below the limit of one."""
+
+        async def stay_below_the_limit(received, writer):
+            writer.write(begin(received) + chunk(b'x' * 40_000))
+            await asyncio.sleep(1)
+            writer.close()
+
+        await self.serve(service, stay_below_the_limit)
+        memory = self.harness.context.memory
+        sends = []
+        for number in range(STREAMS):
+            sends.append(
+                asyncio.create_task(
+                    self.harness.send(path, attempt_id=f'a{number}')
+                )
+            )
+        peak = 0
+        while not all(send.done() for send in sends):
+            peak = max(peak, memory.used_bytes)
+            await asyncio.sleep(0.005)
+        self.assertLessEqual(peak, held)
+        self.assertGreater(peak, held // 4)
+        self.assertEqual(memory.used_bytes, 0)
+
+    # A small answer beside them is served.
+    async def test_the_largest_answer_gives_way(self):
+        self.harness = GatewayHarness(held_bytes=60_000)
+
+        async def send_in_two_parts(received, writer):
+            size = 40_000 if received.attempt_id == 'large' else 15_000
+            content = signed_response(received, b'y' * size)
+            writer.write(content[:-10])
+            await asyncio.sleep(0.5)
+            writer.write(content[-10:])
+
+        await self.serve('ledger', send_in_two_parts)
+        memory = self.harness.context.memory
+        responses = await asyncio.gather(
+            *(
+                self.harness.send('/check/1', attempt_id=attempt_id)
+                for attempt_id in ('large', 'small-1', 'small-2')
+            )
+        )
+        for response in responses:
+            self.assertEqual(response.status, 200)
+            self.assertTrue(response.complete)
+        # The large one was relayed as it arrived.
+        self.assertNotIn('content-length', responses[0].header_by_name)
+        self.assertIn('content-length', responses[1].header_by_name)
+        self.assertEqual(memory.used_bytes, 0)
+
+
+class BodiesTest(GatewayTest):
+    # The same for bodies of callers, none of which has been sent to a worker.
+    async def test_all_incomplete_bodies_are_bounded_together(self):
+        self.harness = GatewayHarness(held_bytes=400_000)
+        await self.serve('ledger', respond)
+        head = (
+            b'POST /hold/1 HTTP/1.1\r\nHost: desk.example\r\n'
+            b'Attempt-Id: a1\r\nContent-Length: 100000\r\n\r\n'
+        )
+        connections = []
+        for _ in range(8):
+            reader, writer = await self.harness.connect()
+            writer.write(head + b'x' * 90_000)
+            connections.append((reader, writer))
+        await asyncio.sleep(0.2)
+        self.assertLessEqual(self.harness.server.memory.used_bytes, 400_000)
+        statuses = []
+        for reader, writer in connections:
+            writer.write(b'x' * 10_000)
+            head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 2)
+            statuses.append(head.split()[1])
+            writer.close()
+        self.assertEqual(statuses.count(b'503'), 4)
+        self.assertEqual(self.harness.server.memory.used_bytes, 0)
--- a/verbenathread/gateway/attempt.py
+++ b/verbenathread/gateway/attempt.py
@@ -14,6 +14,7 @@
     StallWatch,
 )
 from verbenathread.http1.client import ClientConnection, Ending
+from verbenathread.http1.limits import MemoryBudget
 from verbenathread.http1.messages import ResponseHead
 from verbenathread.serving.dialect import Dialect, WorkerResponse
 from verbenathread.types import Millis
@@ -117,13 +118,18 @@
         expected: Expectation,
         relay: Relay,
         timeouts: StallTimeouts,
+        memory: MemoryBudget,
         clock: Clock,
     ) -> None:
-        """Expect the response on ``connection``."""
+        """Expect the response on ``connection``.
+
+        What is held of it counts in ``memory``.
+        """
         self._connection = connection
         self._dialect = dialect
         self._expected = expected
         self._relay = relay
+        self._memory = memory
         self._clock = clock
         self._is_stream = False
         self._head: ResponseHead | None = None
@@ -191,6 +197,15 @@
         """Cancel the send because the caller disconnected."""
         self._stop(Verdict.ABANDONED)
 
+    def give_way(self) -> None:
+        """Hold nothing of the response any more, as others need the memory."""
+        if self._head is None:
+            return
+        if self._is_stream:
+            self._stop(Verdict.BROKEN)
+        else:
+            self._relay_held(self._head)
+
     def set_backpressure(self, paused: bool) -> None:  # noqa: FBT001
         """Pause or resume reading, as the caller's connection requires."""
         self._connection.set_reading_paused(paused)
@@ -259,9 +274,11 @@
     def _relay_events(self, head: ResponseHead, content: bytes) -> None:
         now = self._clock.now()
         events = self._relay.events.feed(content)
-        if self._relay.events.partial_bytes > self._expected.max_held_bytes:
+        partial_bytes = self._relay.events.partial_bytes
+        if partial_bytes > self._expected.max_held_bytes:
             self._stop(Verdict.BROKEN)
             return
+        self._memory.hold(self, partial_bytes)
         if not events:
             return
         if self.first_event_at is None:
@@ -278,13 +295,19 @@
         """Hold a part of a plain body, or relay it once there is too much."""
         self._stall.record_data(is_event=False)
         self._body += content
-        is_held = len(self._body) <= self._expected.max_held_bytes
-        if is_held and not self._is_relayed:
-            return
+        size = len(self._body)
+        if size > self._expected.max_held_bytes or self._is_relayed:
+            self._relay_held(head)
+        else:
+            self._memory.hold(self, size)
+
+    def _relay_held(self, head: ResponseHead) -> None:
+        """Relay what is held of a plain body, and all that follows."""
         if head.status // _STATUS_CLASS_SIZE != _SUCCESS_CLASS:
             self._stop(Verdict.BROKEN)
             return
         self._is_relayed = True
+        self._memory.release(self)
         self._relay.write(head, bytes(self._body))
         self._body.clear()
 
--- a/verbenathread/gateway/context.py
+++ b/verbenathread/gateway/context.py
@@ -18,7 +18,7 @@
 from verbenathread.gateway.view import ClusterView
 from verbenathread.gateway.worker_client import PooledWorkerClient, WorkerClient
 from verbenathread.gateway.worker_signals import WorkerSignals
-from verbenathread.http1.client import ResponseLimits
+from verbenathread.http1.limits import MemoryBudget, ResponseLimits
 from verbenathread.scheduling.outliers import OutlierTracker
 from verbenathread.schema import settings_pb2
 from verbenathread.serving.dialect import Dialect
@@ -61,6 +61,8 @@
     handover: HandoverClient
     # Largest plain answer that is held until it is complete, and largest event.
     max_held_bytes: int
+    # The incomplete answers of all requests.
+    memory: MemoryBudget
 
 
 def build_context(
@@ -139,4 +141,5 @@
         ),
         handover=handover,
         max_held_bytes=section.answer_buffer_bytes,
+        memory=MemoryBudget(section.held_bytes),
     )
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -73,7 +73,7 @@
             self.context.quarantine, self.view
         )
         self._handler = GatewayHandler(self.context)
-        self.server = HttpServer(self._handler, self._clock)
+        self.server = HttpServer(self._handler, self._clock, section.held_bytes)
         self._handover_server = HandoverServer(
             HandoverService(self.context, self._handler), auth, self._clock
         )
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -265,6 +265,7 @@
             ),
             self._relay,
             _stall_timeouts(self._routed, selection, started),
+            context.memory,
             context.clock,
         )
         self._attempt = attempt
@@ -276,7 +277,11 @@
         attempt.on_response = functools.partial(
             context.signals.observe, selection.worker, sent_at=started
         )
-        with context.send_tracker.track(selection.worker, attempt):
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(
+                context.send_tracker.track(selection.worker, attempt)
+            )
+            stack.callback(context.memory.release, attempt)
             result = await attempt.run(
                 self._encode_request(selection),
                 self._routed.deadline,
--- a/verbenathread/gateway/pool.py
+++ b/verbenathread/gateway/pool.py
@@ -1,12 +1,8 @@
 """Pool of idle connections to workers."""
 
 from verbenathread.clock import Clock
-from verbenathread.http1.client import (
-    DEFAULT_LIMITS,
-    ClientConnection,
-    ResponseLimits,
-    connect,
-)
+from verbenathread.http1.client import ClientConnection, connect
+from verbenathread.http1.limits import DEFAULT_LIMITS, ResponseLimits
 from verbenathread.serving.types import Worker
 from verbenathread.types import Millis
 
--- a/verbenathread/http1/client.py
+++ b/verbenathread/http1/client.py
@@ -3,11 +3,12 @@
 import asyncio
 import enum
 from collections import deque
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import httptools
 
 from verbenathread.clock import Clock, seconds
+from verbenathread.http1.limits import DEFAULT_LIMITS, ResponseLimits
 from verbenathread.http1.messages import ResponseHead, index_headers
 from verbenathread.http1.reading import BoundedReader
 from verbenathread.observability.logs import get_logger
@@ -33,19 +34,8 @@
 _MAX_EXCHANGE_IDS = 64
 # Most bytes that frame one part of a body: the size of a chunk and line ends.
 _MAX_CHUNK_FRAMING = 32
-
-
-class ResponseLimits(NamedTuple):
-    """Limits on what an upstream may send in one exchange, in bytes."""
-
-    # Everything that is no body: status lines, headers, interim responses,
-    # chunk extensions and trailers.
-    head_bytes: int = 0x10000
-    # Bodies of responses that the sink does not accept.
-    skipped_bytes: int = 0x40000
-
-
-DEFAULT_LIMITS = ResponseLimits()
+# Memory that a header takes beside its bytes.
+_HEADER_OVERHEAD = 100
 
 
 class Ending(enum.Enum):
@@ -321,6 +311,8 @@
         """Return whether the upstream sent more than any response needs."""
         limits = self._limits
         framing = self._received_bytes - self._body_bytes - self._skipped_bytes
+        headers = len(self._headers) + len(self._trailers)
+        framing += headers * _HEADER_OVERHEAD
         allowed = limits.head_bytes + self._body_parts * _MAX_CHUNK_FRAMING
         return framing > allowed or self._skipped_bytes > limits.skipped_bytes
 
--- a/verbenathread/http1/server.py
+++ b/verbenathread/http1/server.py
@@ -7,6 +7,7 @@
 import httptools
 
 from verbenathread.clock import Clock, seconds
+from verbenathread.http1.limits import MemoryBudget
 from verbenathread.http1.messages import Request, index_headers
 from verbenathread.http1.reading import BoundedReader
 from verbenathread.http1.response import ResponseWriter
@@ -39,6 +40,11 @@
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+# Headers of a request; those of clients number some dozens.
+_MAX_HEADERS = 1024
+# Incomplete bodies of all connections, unless the caller sets a limit.
+_DEFAULT_HELD_BYTES = 0x2000000
 _OLD_HTTP_VERSION = '1.0'
 
 
@@ -67,8 +73,17 @@
 class HttpServer:
     """Accepts and serves connections on the running event loop."""
 
-    def __init__(self, handler: Handler, clock: Clock) -> None:
-        """Pass each request to ``handler``."""
+    def __init__(
+        self,
+        handler: Handler,
+        clock: Clock,
+        held_bytes: int = _DEFAULT_HELD_BYTES,
+    ) -> None:
+        """Pass each request to ``handler``.
+
+        ``held_bytes`` bounds the incomplete bodies of all connections.
+        """
+        self.memory = MemoryBudget(held_bytes)
         self.handler = handler
         self.clock = clock
         self.limits = Limits()
@@ -112,8 +127,10 @@
         self.stopping = True
         self.stop_listening()
         while self.connections and self.clock.now() < deadline:
+            idle_since = self.clock.now() - _DRAIN_IDLE
             for connection in tuple(self.connections):
-                if connection.is_idle(_DRAIN_IDLE):
+                is_idle = connection.last_active <= idle_since
+                if is_idle and not connection.is_busy():
                     connection.close()
             await asyncio.sleep(seconds(_DRAIN_CHECK_INTERVAL))
 
@@ -150,7 +167,8 @@
         self._task: asyncio.Task[None] | None = None
         self._error: _RequestError | None = None
         self._closing = False
-        self._last_active = server.clock.now()
+        # When the client sent something or a response ended.
+        self.last_active = server.clock.now()
         self._partial = _PartialRequest()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -162,6 +180,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the response in progress of the disconnect."""
         self._server.connections.discard(self)
+        self._server.memory.release(self)
         self._queue.clear()
         self._closing = True
         if self._response is not None:
@@ -187,7 +206,7 @@
         """Parse data from the client."""
         if self._closing or self._error is not None:
             return
-        self._last_active = self._server.clock.now()
+        self.last_active = self._server.clock.now()
         self._partial.raw_bytes += len(content)
         try:
             self._parser.feed_data(content)
@@ -206,7 +225,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         raw_bytes = self._partial.raw_bytes
-        self._partial = _PartialRequest(raw_bytes, started_at=self._last_active)
+        self._partial = _PartialRequest(raw_bytes, started_at=self.last_active)
 
     def on_url(self, url: bytes) -> None:
         """Store a part of the target."""
@@ -216,6 +235,8 @@
         """Store a header; trailers are dropped."""
         if not self._partial.head_complete:
             self._partial.headers.append((name, text))
+            if len(self._partial.headers) > _MAX_HEADERS:
+                self._set_error(_HEAD_TOO_LARGE, b'there are too many headers')
             # The name and value are separated by ': ' and end with CRLF.
             self._partial.head_bytes += len(name) + len(text) + 4
 
@@ -249,9 +270,11 @@
             self._set_error(_TOO_LARGE, b'the body is too large')
         if self._error is None:
             partial.body += content
+            self._server.memory.hold(self, size)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        self._server.memory.release(self)
         if self._error is not None:
             return
         partial = self._partial
@@ -263,7 +286,7 @@
                 headers,
                 index_headers(headers),
                 bytes(partial.body),
-                self._last_active,
+                self.last_active,
             )
         )
         if not self._parser.should_keep_alive():
@@ -282,11 +305,6 @@
             or self._partial.started_at > 0
         )
 
-    def is_idle(self, duration: Millis) -> bool:
-        """Return whether there was no request for ``duration`` ms."""
-        idle = self._server.clock.now() - self._last_active
-        return not self.is_busy() and idle >= duration
-
     def check_timeouts(self, now: Millis) -> None:
         """Close the connection if it is idle or slow for too long."""
         if self._response is not None or self._queue or self._closing:
@@ -294,17 +312,25 @@
         limits = self._server.limits
         started_at = self._partial.started_at
         if not started_at:
-            if now - self._last_active > limits.idle_timeout:
+            if now - self.last_active > limits.idle_timeout:
                 self.close()
             return
         if self._partial.head_complete:
-            timed_out = now - self._last_active > limits.header_timeout
+            timed_out = now - self.last_active > limits.header_timeout
         else:
             timed_out = now - started_at > limits.header_timeout
         if timed_out:
             self._set_error(_TIMED_OUT, b'the request arrived too slowly')
             self._serve_next()
 
+    def give_way(self) -> None:
+        """Refuse the request whose body is being read."""
+        self._partial.body.clear()
+        self._set_error(
+            _UNAVAILABLE, b'too many bodies are read; send it again'
+        )
+        self._serve_next()
+
     def closes_after_response(self) -> bool:
         """Return whether the connection closes after this response."""
         if self._queue:
@@ -321,7 +347,7 @@
         # While stopping, a client that was not told of the close may have sent
         # its next request already.
         self._response = None
-        self._last_active = self._server.clock.now()
+        self.last_active = self._server.clock.now()
         if self._queue:
             asyncio.get_running_loop().call_soon(self._serve_next)
 
