--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -213,6 +213,39 @@
         ran = {received.attempt_id for received in self.worker.requests}
         self.assertNotIn('s2', ran)
 
+    # What still ran at the end of a planned stop was cut without an answer.
+    async def test_a_stop_answers_what_does_not_end_in_time(self):
+        async def stay_silent(request, writer):
+            await asyncio.sleep(20)
+
+        hold = {
+            'name': 'r2',
+            'host': 'desk.example',
+            'path-prefix': '/hold/',
+            'kind': 'non_idempotent',
+            'timeout-ms': 9000,
+            'service': 'desk',
+        }
+        await self.until(self.accepts_config(body(2, routes=[hold])))
+        await self.until(self.serves_bookings)
+        self.worker.script = stay_silent
+        self.gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1)
+        # The load balancer still sends requests to this gateway.
+        response = await self.send_hold()
+        self.assertTrue(response.complete)
+        # The worker has the booking, so nothing says that it did not run.
+        self.assertEqual(response.status, 502)
+        code = await asyncio.to_thread(self.gateway.wait, 8)
+        self.assertEqual(code, 0)
+
+    async def serves_bookings(self):
+        return (await self.send_hold()).status == 200
+
+    async def send_hold(self):
+        headers = 'Attempt-Id: h1\r\nDeadline-Ms: 8500\r\n'
+        return await call(GATEWAY_IP, 18070, 'POST', '/hold/1', headers=headers)
+
     async def test_the_gateway_serves_without_the_directory(self):
         directory = self.processes.by_name['directory']
         directory.send_signal(signal.SIGKILL)
--- a/verbenathread/gateway/daemon.py
+++ b/verbenathread/gateway/daemon.py
@@ -31,7 +31,10 @@
 # connections after two failures.
 _SHUTDOWN_DELAY: Millis = 2600
 # Part of the stop limit left for closing and for interpreter shutdown.
-_STOP_MARGIN: Millis = 700
+_STOP_MARGIN: Millis = 850
+# Longest time to send the last answers, which are those of requests that did not
+# end in time; a part of the margin.
+_LAST_ANSWERS_TIME: Millis = 150
 
 
 class GatewayDaemon:
@@ -118,11 +121,12 @@
         self.server.stopping = True
         self._handover_server.refuse_new()
         _log.info('Gateway stopping.', busy=self.server.busy_count())
-        delay = min(_SHUTDOWN_DELAY, self._section.stop_limit)
-        await asyncio.sleep(seconds(delay))
+        left = max(0, until - self._clock.now())
+        await asyncio.sleep(seconds(min(_SHUTDOWN_DELAY, left // 2)))
         self._handler.ends_at = until
         await self.server.drain(until)
         await self._handover_server.drain(until)
+        await self._end_requests()
         await self.context.reservations.close()
         await cancel_all(self._tasks)
         _log.info('Gateway stopped.', cut=self.server.busy_count())
@@ -140,6 +144,13 @@
             return 'no configuration is known yet'
         return ''
 
+    async def _end_requests(self) -> None:
+        """Answer the requests that still run, and send these answers."""
+        self._handler.end_exchanges()
+        until = self._clock.now() + _LAST_ANSWERS_TIME
+        await self.server.drain(until)
+        await self._handover_server.drain(until)
+
     async def _close(self) -> None:
         self.server.close()
         self._status.close()
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -87,8 +87,10 @@
         self._attempt: Attempt | None = None
         self._sends = progress.sends
         self._connect_failures = 0
-        # False as long as the request has certainly not run.
+        # False as long as the request has certainly not run, apart from a send
+        # whose result is not known yet.
         self._may_have_run = progress.may_have_run
+        self._is_sent = False
         self._handover = RequestHandover(context, routed, reply, self._relay)
         # A worker's error response, kept while another worker is tried.
         self._failure: Result | None = None
@@ -117,11 +119,24 @@
         if self._reply.is_disconnected and not self._reply.done:
             self._log.record_outcome('abandoned', '')
 
+    def stop(self) -> None:
+        """Answer now, as the process ends: the caller must not be left waiting.
+
+        A request that no worker has is refused as not run.
+        """
+        if self._reply.done or self._reply.is_disconnected:
+            return
+        self._may_have_run = self._may_have_run or self._is_sent
+        self._fail(_UNAVAILABLE, 'this gateway stops', _SHORT_RETRY_AFTER)
+        self._on_disconnect()
+
     async def _hand_over(self) -> None:
         """Let another gateway serve the request, as no worker is reached."""
+        self._is_sent = True
         outcome = await self._handover.run(
             self._sends, may_have_run=self._may_have_run
         )
+        self._is_sent = False
         if outcome is Outcome.ANSWERED:
             self._log.record_outcome('handed over', '')
             return
@@ -197,12 +212,17 @@
 
     def _may_send_now(self, selection: Selection) -> bool:
         """Return whether to send, after the time that connecting took."""
-        if self._reply.is_disconnected or self._is_quarantined():
+        if self._reply.done or self._reply.is_disconnected:
+            return False
+        if self._is_quarantined():
             return False
         if not self._selector.is_available(selection):
             # A worker said meanwhile that it leaves or refused another request.
             return False
-        if self._sends and not self._try_acquire_retry():
+        budget = self._context.retry_budget
+        now = self._context.clock.now()
+        service = self._routed.service.name
+        if self._sends and not budget.try_acquire(service, now):
             self._fail(
                 _UNAVAILABLE, 'the retry budget is used up', _MS_PER_SECOND
             )
@@ -270,6 +290,7 @@
         )
         self._attempt = attempt
         self._sends += 1
+        self._is_sent = True
         context.outliers.record_sent(selection.worker.worker_id, started)
         attempt.on_first_event = functools.partial(
             self._selector.record_first_event, selection, started
@@ -322,6 +343,7 @@
 
     def _handle_result(self, worker: Worker, result: Result) -> None:
         """Answer the caller, or exclude the worker and let another one try."""
+        self._is_sent = False
         if result.verdict is Verdict.ABANDONED:
             return
         if result.verdict is Verdict.NOT_RUN:
@@ -398,12 +420,6 @@
             return False
         return route.may_retry() and self._sends < route.max_attempts
 
-    def _try_acquire_retry(self) -> bool:
-        now = self._context.clock.now()
-        return self._context.retry_budget.try_acquire(
-            self._routed.service.name, now
-        )
-
     def _is_stream(self) -> bool:
         return self._routed.match.route.kind is RequestKind.STREAM
 
@@ -411,6 +427,8 @@
         self, status: int, reason: str, retry_after: Millis | None
     ) -> None:
         """Answer with a worker's error response or else the gateway's own."""
+        if self._reply.done:
+            return
         if self._relay.started:
             self._reply.abort()
             self._log.record_outcome('broken', reason)
--- a/verbenathread/gateway/handler.py
+++ b/verbenathread/gateway/handler.py
@@ -1,6 +1,7 @@
 """Routes each request and starts its exchange."""
 
 import asyncio
+import contextlib
 from types import MappingProxyType
 from typing import Final
 
@@ -56,6 +57,7 @@
         self._context = context
         # Set late in a planned stop: when the process ends what still runs.
         self.ends_at: Millis | None = None
+        self._exchanges: set[Exchange] = set()
 
     async def handle(
         self, request: Request, reply: Reply, progress: Progress = NO_PROGRESS
@@ -98,7 +100,16 @@
         context.retry_budget.record_request(
             routed.service.name, request.received_at
         )
-        await Exchange(context, routed, reply).run()
+        exchange = Exchange(context, routed, reply)
+        self._exchanges.add(exchange)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._exchanges.discard, exchange)
+            await exchange.run()
+
+    def end_exchanges(self) -> None:
+        """Answer every request in progress, as the process ends now."""
+        for exchange in tuple(self._exchanges):
+            exchange.stop()
 
     async def _wait_for_config(
         self, request: Request, caller: CallerRequest
