--- a/tools/soak/worker_pool.py
+++ b/tools/soak/worker_pool.py
@@ -169,6 +169,7 @@
             'zone': 'a',
             'version': 'v1',
             'slots': _SLOTS,
+            'cold-remaining-ms': 0,
             'state': 'draining' if worker.is_draining else 'ready',
             'sequence': worker.sequence,
             'born': worker.born,
--- a/verbenathread/directory/machine.py
+++ b/verbenathread/directory/machine.py
@@ -1,10 +1,16 @@
 """State machine of the directory: configuration, workers, quarantine."""
 
+from collections.abc import Iterable, Iterator
+
+from verbenathread.exceptions import SettingsError
+from verbenathread.observability.logs import get_logger
 from verbenathread.schema import directory_pb2 as messages
 from verbenathread.serving.crash_evidence import MAX_GROUPS, PartGroup
 from verbenathread.serving.registry import WorkerRegistry
 from verbenathread.serving.types import Worker, WorkerState
-from verbenathread.types import Address
+from verbenathread.settings.node import parse_address
+
+_log = get_logger('directory')
 
 
 class DirectoryMachine:
@@ -27,7 +33,8 @@
         if kind == 'put_config':
             self._put_config(decoded.put_config)
         elif kind == 'put_worker':
-            self.registry.merge(decode_worker(decoded.put_worker))
+            for worker in decode_workers((decoded.put_worker,)):
+                self.registry.merge(worker)
             self.registry_changes += 1
         elif kind == 'drop_worker':
             drop = decoded.drop_worker
@@ -55,8 +62,8 @@
         self.config_version = decoded.config.version
         self.config_body = decoded.config.body
         self.registry = WorkerRegistry()
-        for entry in decoded.workers:
-            self.registry.merge(decode_worker(entry))
+        for worker in decode_workers(decoded.workers):
+            self.registry.merge(worker)
         self.registry_changes += 1
         self.quarantine = tuple(map(decode_group, decoded.quarantine))
 
@@ -87,15 +94,33 @@
     return messages.PartGroup(parts=sorted(group))
 
 
-def decode_worker(entry: messages.WorkerEntry) -> Worker:
-    """Build a worker from its message."""
+def decode_workers(entries: Iterable[messages.WorkerEntry]) -> Iterator[Worker]:
+    """Yield the workers of a list, without entries that can't be read.
+
+    Another build may have written an entry; it must not end who reads the list,
+    nor hide the workers beside it.
+    """
+    for entry in entries:
+        try:
+            worker = _decode_worker(entry)
+        except (ValueError, SettingsError) as error:
+            _log.warning(
+                'Ignoring a worker that cannot be read.',
+                worker=entry.worker_id,
+                reason=str(error),
+            )
+            continue
+        yield worker
+
+
+def _decode_worker(entry: messages.WorkerEntry) -> Worker:
     return Worker(
         worker_id=entry.worker_id,
         started_at=entry.born,
         sequence=entry.sequence,
         state=WorkerState(entry.state),
         service=entry.service,
-        address=Address(entry.host, entry.port),
+        address=parse_address(f'{entry.host}:{entry.port}'),
         data_centre=entry.data_centre,
         slots=entry.slots,
     )
--- a/verbenathread/gateway/notice_handler.py
+++ b/verbenathread/gateway/notice_handler.py
@@ -1,5 +1,6 @@
 """Applies the notices of other gateways."""
 
+import math
 from collections.abc import Callable
 
 from verbenathread.clock import Clock
@@ -90,7 +91,7 @@
         now = self._clock.now()
         if report.limit_lifted:
             self._limits.lift(worker, now - _LIMIT_NEWS_AGE)
-        else:
+        elif report.request_limit >= 0 and math.isfinite(report.request_limit):
             self._limits.name(worker, report.request_limit, now)
 
     def _reported_worker(self, report: messages.ReportNotice) -> Worker | None:
--- a/verbenathread/gateway/notices.py
+++ b/verbenathread/gateway/notices.py
@@ -146,7 +146,11 @@
         except DecodeError:
             _log.warning('Received a malformed notice.', sender=str(sender))
             return
-        self._handler.apply(notice)
+        try:
+            self._handler.apply(notice)
+        except Exception:
+            # The notices after this one must be read all the same.
+            _log.exception('Could not apply a notice.', sender=str(sender))
 
     def _broadcast_send(self, send: messages.SendNotice) -> None:
         self._broadcast(messages.Notice(send=send))
--- a/verbenathread/gateway/watch.py
+++ b/verbenathread/gateway/watch.py
@@ -8,7 +8,7 @@
 from grpclib.client import Channel
 
 from verbenathread.clock import Clock, seconds
-from verbenathread.directory.machine import decode_group, decode_worker
+from verbenathread.directory.machine import decode_group, decode_workers
 from verbenathread.directory.seeds import SeedFile
 from verbenathread.exceptions import SettingsError
 from verbenathread.gateway.quarantine import Quarantine
@@ -180,13 +180,11 @@
         if update.config:
             self._apply_config(update.config)
         if update.HasField('workers'):
-            self._view.apply_workers(
-                decode_worker(entry) for entry in update.workers.workers
-            )
+            self._view.apply_workers(decode_workers(update.workers.workers))
         if update.HasField('worker_changes'):
             changes = update.worker_changes
             self._view.change_workers(
-                (decode_worker(entry) for entry in changes.changed),
+                decode_workers(changes.changed),
                 changes.removed_ids,
             )
         if update.HasField('fleet'):
--- a/verbenathread/platform/headers.py
+++ b/verbenathread/platform/headers.py
@@ -60,6 +60,11 @@
 _BAD_REQUEST: Final = 400
 _CONFLICT: Final = 409
 _MS_PER_SECOND: Final = 1000
+# Notices carry the pace in hundredths, in 32 bits.
+_MAX_PACE: Final = 10_000
+# Largest numbers that these messages carry: tokens, and ids of events.
+_MAX_TOKENS: Final = 0xFFFFFFFF
+_MAX_NUMBER: Final = (1 << 63) - 1  # noqa: WPS432
 # Bytes of a malformed value that are logged.
 _MAX_LOGGED: Final = 64
 # Longer ids and further parts are ignored; a notice of all parts has to fit
@@ -103,7 +108,7 @@
         except ValueError:
             return BadRequest(
                 'a Deadline-Ms, Last-Event-Id, Token-Usage or Length-Hint'
-                ' header is not a number'
+                ' header is not a number, or is out of range'
             )
 
     def worker_headers(
@@ -212,8 +217,11 @@
 
 def _decode_report(fields: dict[str, Any]) -> LoadReport:
     born = fields.get('born')
+    pace = float(fields.get('pace', 1))
+    if not 0 < pace <= _MAX_PACE:
+        raise ValueError(f'the pace {pace} is out of range')
     return LoadReport(
-        pace=float(fields.get('pace', 1)),
+        pace=pace,
         started_at=born if isinstance(born, int) else None,
     )
 
@@ -254,8 +262,14 @@
     return None
 
 
-def _parse_number(text: bytes | None) -> int | None:
-    return None if text is None else int(text)
+def _parse_number(text: bytes | None, most: int = _MAX_NUMBER) -> int | None:
+    """Return a number from 0 to ``most``; raises ValueError."""
+    if text is None:
+        return None
+    number = int(text)
+    if not 0 <= number <= most:
+        raise ValueError(f'{number} is out of range')
+    return number
 
 
 def _parse_bearer_key(text: bytes | None) -> str | None:
@@ -269,10 +283,10 @@
     if sizes is None:
         return None
     tokens, _, output_limit = sizes.partition(b',')
-    max_output = int(output_limit)
-    expected = _parse_number(values.get(_LENGTH_HINT))
+    max_output = _parse_number(output_limit, _MAX_TOKENS) or 0
+    expected = _parse_number(values.get(_LENGTH_HINT), _MAX_TOKENS)
     return Prompt(
-        int(tokens),
+        _parse_number(tokens, _MAX_TOKENS) or 0,
         max_output,
         max_output if expected is None else expected,
         _parse_shared_parts(values.get(_PROMPT_PARTS, b'')),
