--- a/tools/processes.py
+++ b/tools/processes.py
@@ -70,10 +70,15 @@
         self.folder = folder
         self.by_name: dict[str, ManagedProcess] = {}
 
-    def start(self, name: str, *arguments: str) -> ManagedProcess:
-        """Start ``python -m ARGUMENTS`` in the folder of the run."""
+    def start(
+        self, name: str, *arguments: str, root: Path = ROOT
+    ) -> ManagedProcess:
+        """Start ``python -m ARGUMENTS`` in the folder of the run.
+
+        ``root`` is the folder of the build whose modules it runs.
+        """
         log = self.folder / f'{name}.log'
-        environment = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        environment = {**os.environ, 'PYTHONPATH': str(root)}
         with log.open('ab') as output:
             process = subprocess.Popen(
                 [sys.executable, '-m', *arguments],
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -24,6 +24,11 @@
     parser.add_argument(
         '--keep', default='.', help='folder for the logs of failed runs'
     )
+    parser.add_argument(
+        '--older',
+        type=Path,
+        help='folder of another build, whose processes run beside these',
+    )
     options = parser.parse_args()
     first = options.seed
     if first is None:
@@ -35,20 +40,20 @@
     )
     failed = 0
     for seed in range(first, first + options.count):
-        if _run_seed(seed, size, Path(options.keep)):
+        if _run_seed(seed, size, options):
             failed += 1
     sys.stdout.write(f'{options.count} seeds, {failed} failed\n')
     return 1 if failed else 0
 
 
-def _run_seed(seed: int, size: Size, keep: Path) -> bool:
+def _run_seed(seed: int, size: Size, options: argparse.Namespace) -> bool:
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    findings = asyncio.run(run_soak(seed, folder, size))
+    findings = asyncio.run(run_soak(seed, folder, size, options.older))
     sys.stdout.write(f'seed {seed}: {dict(findings.outcomes)}\n')
     for violation in findings.violations:
         sys.stdout.write(f'seed {seed}: {violation}\n')
     if findings.violations:
-        kept = keep / f'soak-{seed}'
+        kept = Path(options.keep) / f'soak-{seed}'
         shutil.copytree(folder, kept, dirs_exist_ok=True)
         sys.stdout.write(f'seed {seed}: logs are in {kept}\n')
     shutil.rmtree(folder)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from tools.local_cluster import LOOPBACK_NET
-from tools.processes import ManagedProcess, Processes
+from tools.processes import ROOT, ManagedProcess, Processes
 from tools.soak.findings import Findings
 from tools.soak.loopback_proxy import LoopbackProxy
 from verbenathread.types import Address, Millis
@@ -63,6 +63,7 @@
     def __init__(self, program: str, number: int) -> None:
         """Set the name, the addresses and the proxies of the node."""
         self.program = program
+        self.number = number
         self.name = f'{program}-{number}'
         first = _FIRST_GATEWAY
         ports: tuple[int, ...] = (CALLER_PORT,)
@@ -95,9 +96,15 @@
         directories: int,
         gateways: int,
         findings: Findings,
+        older: Path | None = None,
     ) -> None:
-        """Write the settings of every node."""
+        """Write the settings of every node.
+
+        With ``older``, the folder of another build, half of the nodes begin with
+        that build, and each node changes its build at every start.
+        """
         self._processes = processes
+        self.older = older
         self.findings = findings
         self.directories = [Node('directory', n) for n in range(directories)]
         self.gateways = [Node('gateway', n) for n in range(gateways)]
@@ -128,7 +135,12 @@
         """Start the process of a node that is not running."""
         node.start_count += 1
         arguments = ('verbenathread', node.program, '--settings')
-        self._processes.start(node.name, *arguments, f'{node.name}.ini')
+        root = ROOT
+        if self.older is not None and (node.number + node.start_count) % 2:
+            root = self.older
+        self._processes.start(
+            node.name, *arguments, f'{node.name}.ini', root=root
+        )
 
     def process(self, node: Node) -> ManagedProcess:
         """Return the process of a node."""
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -162,9 +162,12 @@
         self._tasks = self._tasks[:keep]
 
 
-async def run_soak(seed: int, folder: Path, size: Size) -> Findings:
+async def run_soak(
+    seed: int, folder: Path, size: Size, older: Path | None = None
+) -> Findings:
     """Run the soak of one seed with its processes below ``folder``.
 
+    ``older`` is the folder of another build, which runs beside this one.
     SIGTERM ends it early and stops all that it started.
     """
     task = asyncio.current_task()
@@ -173,7 +176,9 @@
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with running_processes(folder) as processes:
         findings = Findings(SystemClock())
-        fleet = Fleet(processes, size.directories, size.gateways, findings)
+        fleet = Fleet(
+            processes, size.directories, size.gateways, findings, older
+        )
         soak = Soak(fleet, size, seed)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(soak.stop)
--- a/tools/soak/worker_pool.py
+++ b/tools/soak/worker_pool.py
@@ -10,6 +10,7 @@
 from tools.soak.findings import Findings
 from tools.soak.fleet import WORKER_HEARTBEAT, Fleet
 from tools.soak.loopback_proxy import LoopbackProxy
+from tools.soak.odd_heartbeats import odd_heartbeat
 from tools.soak.worker_trouble import CRASH_FAULT, CrashingRequests, NamedLimit
 from tools.soak.workers import ENGINE_SERVICE, LEDGER_SERVICE, SoakWorker
 from verbenathread.clock import Clock, seconds
@@ -42,6 +43,7 @@
         self._findings = findings
         self._clock = clock
         self._numbers = itertools.count(1)
+        self._odd_numbers = itertools.count(1)
         self._services = [
             *(ENGINE_SERVICE for _ in range(engines)),
             *(LEDGER_SERVICE for _ in range(_LEDGERS)),
@@ -78,6 +80,9 @@
             await asyncio.gather(
                 *(self._send_heartbeat(worker) for worker in self.workers)
             )
+            if self._fleet.older is None:
+                # Older builds take some of them for workers.
+                await self._send_odd_heartbeat()
             await asyncio.sleep(seconds(WORKER_HEARTBEAT))
 
     async def crash(self, rng: random.Random) -> None:
@@ -176,6 +181,20 @@
         }
         return await self._call_directory(worker, 'Heartbeat', body)
 
+    async def _send_odd_heartbeat(self) -> None:
+        """Send the heartbeat of another writer, which must be refused."""
+        number = next(self._odd_numbers)
+        rng = random.Random(number)
+        worker = rng.choice(self.workers)
+        response = await call_any(
+            [node.address for node in self._fleet.directories],
+            'POST',
+            f'/Instances.Heartbeat/odd-{number}',
+            odd_heartbeat(str(worker.address), self._clock.wall(), rng),
+        )
+        if response is not None and response.status == _OK:
+            self._findings.report_violation('ODD', f'heartbeat {number}')
+
     async def _call_directory(
         self, worker: SoakWorker, call: str, body: dict[str, object]
     ) -> bool:
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import NamedTuple
 
 from tests.standins import platform_worker as standin
@@ -34,6 +35,11 @@
 # A gateway that a fault affected may receive a leave this much later.
 _RECOVERY_TIME: Millis = 3000
 _HANG_SECONDS = 30.0
+# How much later the second copy of a refusal is sent.
+_COPY_DELAY: Millis = 15
+# Chunks of one byte that are sent at once, and how often.
+_PIECES = 1000
+_PIECE_ROUNDS = 400
 
 
 class _Reservation(NamedTuple):
@@ -167,29 +173,17 @@
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
         """Fail a request in a random way; return False to serve it as well."""
-        fault = self._random.choice(('busy', 'lost', 'hang', 'extra', 'error'))
-        if fault == 'busy':
-            writer.write(standin.not_executed_response())
-        elif fault == 'lost':
-            self._record_run(request)
-            standin.reset(writer)
-        elif fault == 'hang':
-            self._record_run(request)
-            await asyncio.sleep(_HANG_SECONDS)
-        elif fault == 'error':
-            self._record_run(request)
-            writer.write(
-                standin.signed_response(
-                    request, b'', status='500 Internal Server Error'
-                )
-            )
-        else:
+        fault = self._random.choice((*_FAULT_BY_NAME, 'extra'))
+        if fault == 'extra':
             # A late response to a request that no client waits for any more.
             other = ReceivedRequest(
                 b'GET / HTTP/1.1\r\nAttempt-Id: nobody\r\n', b''
             )
             writer.write(standin.signed_response(other, b'not yours'))
             return False
+        if fault not in _REFUSALS:
+            self._record_run(request)
+        await _FAULT_BY_NAME[fault](request, writer)
         return True
 
     def _record_run(self, request: ReceivedRequest) -> None:
@@ -285,3 +279,73 @@
         until = self._clock.now() + int(str(order['hold-ms']))
         self._reservation_by_id[reservation_id] = _Reservation(tokens, until)
         return standin.unsigned_response(b'{"free":1}')
+
+
+async def _refuse(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Refuse a request."""
+    writer.write(standin.not_executed_response())
+
+
+async def _refuse_twice(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Refuse a request, and send a second copy of the refusal late."""
+    refusal = standin.not_executed_response().replace(
+        b'Not-Executed',
+        f'Attempt-Id: {request.attempt_id}\r\nNot-Executed'.encode(),
+    )
+    writer.write(refusal)
+    asyncio.get_running_loop().call_later(
+        seconds(_COPY_DELAY), writer.write, refusal
+    )
+
+
+async def _lose(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Reset the connection."""
+    standin.reset(writer)
+
+
+async def _hang(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Send nothing for long."""
+    await asyncio.sleep(_HANG_SECONDS)
+
+
+async def _fail_request(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Respond with an error."""
+    writer.write(
+        standin.signed_response(
+            request, b'', status='500 Internal Server Error'
+        )
+    )
+
+
+async def _send_pieces(
+    request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send chunks of one byte until the gateway closes the connection."""
+    writer.write(standin.stream_head(request))
+    pieces = standin.chunk(b'x') * _PIECES
+    for _ in range(_PIECE_ROUNDS):
+        if writer.is_closing():
+            return
+        writer.write(pieces)
+        await writer.drain()
+    standin.reset(writer)
+
+
+_FAULT_BY_NAME = MappingProxyType(
+    {
+        'busy': _refuse,
+        'twice': _refuse_twice,
+        'lost': _lose,
+        'hang': _hang,
+        'error': _fail_request,
+        'pieces': _send_pieces,
+    }
+)
+# Faults after which the request has not run.
+_REFUSALS = frozenset(('busy', 'twice'))
