--- a/tests/test_gateway_repeated_sends.py
+++ b/tests/test_gateway_repeated_sends.py
@@ -10,7 +10,7 @@
     signed_response,
     stream_head,
 )
-from tests.test_gateway_relay import GatewayTest
+from tests.test_gateway_relay import GatewayTest, respond, respond_misdirected
 from verbenathread.serving.types import RequestKind
 
 ONCE = config(
@@ -104,3 +104,18 @@
         response = await self.harness.send('/hold/1')
         self.assertEqual(response.status, 503)
         self.assertEqual(worker.refused, {})
+
+
+class ExpectedVersionTest(GatewayTest):
+    # One caller who asked for a version that no worker has took all workers of
+    # the service out of use, as the same status tells of another worker.
+    async def test_refused_version_leaves_the_worker_in_use(self):
+        for header, status in (('Expect-Version: 3\r\n', 200), ('', 503)):
+            with self.subTest(header=header):
+                await self.asyncSetUp()
+                await self.serve('ledger', respond_misdirected)
+                await self.harness.send('/hold/1', headers=header)
+                self.harness.workers[0].script = respond
+                after = await self.harness.send('/hold/1', attempt_id='a2')
+                self.assertEqual(after.status, status)
+                await self.harness.stop()
--- a/verbenathread/gateway/exchange.py
+++ b/verbenathread/gateway/exchange.py
@@ -365,13 +365,15 @@
 
     def _handle_not_run(self, worker: Worker, result: Result) -> None:
         head = result.head
-        if head is not None and self._selector.is_misdirected(head):
+        dialect = self._context.dialect
+        is_misdirected = head is not None and dialect.is_misdirected(
+            head.status
+        )
+        if is_misdirected and not dialect.expects_version(self._routed.request):
             self._context.view.mark_misdirected(worker)
         faulty_worker = ''
         if head is not None:
-            faulty_worker = self._context.dialect.parse_response(
-                head
-            ).faulty_worker
+            faulty_worker = dialect.parse_response(head).faulty_worker
         if faulty_worker:
             self._selector.exclude_address(faulty_worker)
         else:
--- a/verbenathread/gateway/selection.py
+++ b/verbenathread/gateway/selection.py
@@ -6,7 +6,6 @@
 
 from verbenathread.gateway.context import GatewayContext
 from verbenathread.gateway.reservations import MemoryShare, Reservation
-from verbenathread.http1.messages import ResponseHead
 from verbenathread.serving.dialect import CallerRequest, Helper
 from verbenathread.serving.estimates import GenerationRequest
 from verbenathread.serving.fleet_load import (
@@ -18,7 +17,6 @@
 from verbenathread.serving.types import Prompt, Route, ServiceSpec, Worker
 from verbenathread.types import Millis
 
-_MISDIRECTED = 421
 # Priorities sent to workers: short prompts go before long ones.
 _SHORT_PRIORITY = 2
 _LONG_PRIORITY = 5
@@ -131,10 +129,6 @@
         workers = context.view.workers(self._service.name)
         return min(map(context.signals.left, workers), default=0)
 
-    def is_misdirected(self, head: ResponseHead) -> bool:
-        """Return whether another worker answered at the address."""
-        return head.status == _MISDIRECTED
-
     def cancel(self) -> None:
         """Stop waiting for a slot: the caller disconnected."""
         if self._queued is not None:
--- a/verbenathread/platform/headers.py
+++ b/verbenathread/platform/headers.py
@@ -36,6 +36,7 @@
 _BEARER: Final = b'bearer '
 _TENANT: Final = b'tenant'
 _EXPECTED_WORKER: Final = b'expect-instance'
+_EXPECTED_VERSION: Final = b'expect-version'
 _PRIORITY: Final = b'request-priority'
 _LAST_EVENT_ID: Final = b'last-event-id'
 _HELPERS: Final = b'helpers'
@@ -183,6 +184,10 @@
         """Return whether another worker than the expected one answered."""
         return status == _MISDIRECTED
 
+    def expects_version(self, request: Request) -> bool:
+        """Return whether the caller asks for one version of the weights."""
+        return _EXPECTED_VERSION in request.value_by_name
+
     def parse_reservation_response(self, status: int) -> ReservationResponse:
         """Parse the response to a reserve or release call."""
         return ReservationResponse(
--- a/verbenathread/serving/dialect.py
+++ b/verbenathread/serving/dialect.py
@@ -127,6 +127,12 @@
     def is_misdirected(self, status: int) -> bool:
         """Return whether another worker than the expected one answered."""
 
+    def expects_version(self, request: Request) -> bool:
+        """Return whether a worker may also refuse for its version's sake.
+
+        The status is then that of another worker than the expected one.
+        """
+
     def parse_reservation_response(self, status: int) -> ReservationResponse:
         """Interpret the status of a reserve or release call."""
 
