--- a/verbenathread/http1/client.py
+++ b/verbenathread/http1/client.py
@@ -183,6 +183,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._until_close = False
         self._skipping = False
+        # The previous response may have ended while reading was paused.
+        self.set_reading_paused(False)
         self._transport.write(request)
 
     def close(self) -> None:
