--- a/tests/test_gateway_handover.py
+++ b/tests/test_gateway_handover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
 
 from tests.gateway_fleet import GatewayFleet
@@ -9,7 +10,12 @@
 from tests.standins.troubled_worker import Behaviour
 from tests.test_gateway_cut_off import EVENTS
 from tests.worker_links import Cut
+from verbenathread.gateway.attempt import Relay
+from verbenathread.gateway.handover_client import Outcome
 from verbenathread.gateway.handover_server import HandoverServer
+from verbenathread.gateway.progress import NO_PROGRESS
+from verbenathread.gateway.request_handover import RequestHandover
+from verbenathread.http1.messages import ResponseHead
 from verbenathread.node_auth import NodeAuth
 from verbenathread.schema import settings_pb2
 from verbenathread.serving.types import RequestKind
@@ -19,6 +25,8 @@
 # A cut is found and requests are handed over within this time.
 FOUND_S = 1.0
 REFUSAL_S = 1.0
+HEAD = ResponseHead(200, (), {})
+STREAM = route('note', RequestKind.STREAM, 'desk')
 SLOW_S = 0.5
 
 
@@ -348,3 +356,33 @@
         self.assertEqual(response.body, body)
         writer.close()
         await fleet.stop()
+
+
+class HalfEventTest(IsolatedAsyncioTestCase):
+    # The events of another gateway were appended to half of one that a worker
+    # had left here.
+    async def test_half_an_event_is_dropped(self):
+        written = []
+        reply = SimpleNamespace(
+            begin=lambda *head: None, write=written.append, done=False
+        )
+        relay = Relay(
+            reply, SimpleNamespace(caller_headers=lambda head: ()), None
+        )
+        relay.write(HEAD, relay.events.feed(b'id: 1\n\nid: 2\nda'))
+
+        async def serve(*request):
+            request[-1].on_content(b'id: 2\ndata: b\n\n')
+            return Outcome.ABANDONED
+
+        routed = SimpleNamespace(
+            progress=NO_PROGRESS,
+            caller=SimpleNamespace(attempt_id='a1'),
+            match=SimpleNamespace(route=STREAM),
+            request=None,
+            deadline=0,
+        )
+        context = SimpleNamespace(handover=SimpleNamespace(serve=serve))
+        handover = RequestHandover(context, routed, reply, relay)
+        await handover.run(1, may_have_run=True)
+        self.assertEqual(b''.join(written), b'id: 1\n\nid: 2\ndata: b\n\n')
--- a/verbenathread/gateway/request_handover.py
+++ b/verbenathread/gateway/request_handover.py
@@ -38,6 +38,8 @@
         routed = self._routed
         if routed.progress.is_handed_over:
             return Outcome.REFUSED
+        # The other gateway sends whole events.
+        self._relay.events.discard_partial()
         self._task = asyncio.create_task(
             self._context.handover.serve(
                 routed.caller.attempt_id,
