--- a/tests/test_gateway_reservations.py
+++ b/tests/test_gateway_reservations.py
@@ -153,6 +153,25 @@
 
         self.run_scenario(scenario)
 
+    # The renewal in progress at a release reserved the memory again, later.
+    def test_late_renewal_is_released(self):
+        async def scenario(workers, manager):
+            reservation = await manager.reserve('r1', self.shares(2))
+            workers.unresponsive.add('w1')
+            workers.delay = 5000
+            # A part of the first renewal's time.
+            await asyncio.sleep(LEASE / 3000 + 0.2)
+            manager.release(reservation)
+            workers.unresponsive.clear()
+            reserved_ms = 0
+            for _ in range(200):
+                await asyncio.sleep(0.1)
+                reserved_ms += 100 * ('w1' in workers.reserving())
+            self.assertLess(reserved_ms, 1500)
+            self.assertEqual(manager.task_count(), 0)
+
+        self.run_scenario(scenario)
+
     def test_release_waits_while_a_worker_refuses(self):
         async def scenario(workers, manager):
             reservation = await manager.reserve('r1', self.shares(2))
--- a/verbenathread/gateway/reservations.py
+++ b/verbenathread/gateway/reservations.py
@@ -167,7 +167,12 @@
     async def _call(
         self, reservation: Reservation, worker: Worker, call: WorkerCall
     ) -> ReservationResponse:
-        response = await self._client.call(worker, call, _CALL_TIMEOUT)
+        try:
+            response = await self._client.call(worker, call, _CALL_TIMEOUT)
+        except asyncio.CancelledError:
+            # A renewal that a release ends may be executed after it.
+            reservation.unconfirmed.add(worker.worker_id)
+            raise
         if response is None:
             reservation.unconfirmed.add(worker.worker_id)
         status = 0 if response is None else response.status
