--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -21,6 +21,20 @@
     return body(1, routes=[ROUTE | changes])
 
 
+def engine(**changes):
+    """Return a configuration whose service has an engine."""
+    fields = {
+        'slots': 8,
+        'kv-capacity-tokens': 232_000,
+        'step_ms': 1.02,
+        'per_seq_ms': 0,
+        'context_per_k': 0.004,
+        'read_per_s': 206_000,
+    }
+    service = {'name': 'desk', 'engine': fields | changes}
+    return body(1, services=[service])
+
+
 class KeysTest(unittest.TestCase):
     # Without a client account, requests with any key or none were served.
     def test_who_may_call(self):
@@ -71,6 +85,11 @@
             ({'attempts': 3}, 'max_attempts', 3),
             ({'resumable': 'false'}, 'resumable', False),
             ({'resumable': True}, 'resumable', True),
+            # Beyond what notices carry: each request failed as announced.
+            ({'target-latency-ms': 10**30}, 'target_latency', 0x7FFFFFFF),
+            ({'target-latency-ms': -5}, 'target_latency', 0),
+            ({'target-gap-ms': 10**30}, 'target_pause', 0x7FFFFFFF),
+            ({'timeout-ms': 10**30}, 'time_limit', 0x7FFFFFFF),
         )
         for fields, name, expected in cases:
             with self.subTest(fields=fields):
@@ -88,6 +107,12 @@
             body(1, tenants=[{'name': 'night', 'api-keys': None}]),
             body(0),
             body(1 << 63),
+            routes(priority=float('inf')),
+            engine(read_per_s=0),
+            engine(read_per_s=float('inf')),
+            engine(slots=0),
+            engine(step_ms=float('nan')),
+            engine(per_seq_ms=-1),
             routes(public='false'),
             routes(resumable=1),
             routes(attempts=-1),
@@ -101,6 +126,7 @@
     def test_accepted(self):
         cases = (
             body(1),
+            engine(),
             body(1, tenants=[]),
             body(1, tenants=[{'name': 'night', 'api-keys': []}]),
             body(1, routes=[]),
--- a/verbenathread/platform/bodies.py
+++ b/verbenathread/platform/bodies.py
@@ -1,6 +1,7 @@
 """Decodes the platform's JSON bodies into internal types."""
 
 import json
+import math
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -16,6 +17,7 @@
     ServingConfig,
     Target,
 )
+from verbenathread.types import Millis
 
 _KIND_BY_NAME: Final = MappingProxyType(
     {
@@ -34,11 +36,19 @@
 )
 
 
+# Longest time, some 24 days: messages between gateways carry 32 bits.
+_MAX_MILLIS: Final = 0x7FFFFFFF
 # The log keeps versions as 64-bit integers.
 _MAX_VERSION: Final = (1 << 63) - 1  # noqa: WPS432
 
 # Raised by decoding a body with missing fields or values of the wrong type.
-MALFORMED_BODY_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+MALFORMED_BODY_ERRORS: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class InvalidBodyError(SettingsError):
@@ -134,17 +144,39 @@
 
 def _decode_engine(fields: Mapping[str, Any]) -> EngineModel:
     return EngineModel(
-        slots=int(fields['slots']),
-        memory_tokens=int(fields['kv-capacity-tokens']),
-        stride=int(fields.get('stride') or 1),
-        step_ms=float(fields['step_ms']),
-        sequence_ms=float(fields['per_seq_ms']),
-        context_ms=float(fields['context_per_k']),
-        prefill_tokens_per_ms=float(fields['read_per_s']) / _MS_PER_SECOND,
-        attention_ms=float(fields.get('pairs_per_m') or 0),
+        slots=int(_read_positive(fields['slots'])),
+        memory_tokens=int(_read_positive(fields['kv-capacity-tokens'])),
+        stride=int(_read_positive(fields.get('stride') or 1)),
+        step_ms=_read_positive(fields['step_ms']),
+        sequence_ms=_read_amount(fields['per_seq_ms']),
+        context_ms=_read_amount(fields['context_per_k']),
+        prefill_tokens_per_ms=_read_positive(fields['read_per_s'])
+        / _MS_PER_SECOND,
+        attention_ms=_read_amount(fields.get('pairs_per_m') or 0),
     )
 
 
+def _read_amount(field: Any) -> float:
+    """Return a finite number of at least 0; raises ValueError."""
+    amount = float(field)
+    if amount < 0 or not math.isfinite(amount):
+        raise ValueError(f'{field!r} is negative or no finite number')
+    return amount
+
+
+def _read_positive(field: Any) -> float:
+    """Return a finite number that is greater than 0; raises ValueError."""
+    amount = _read_amount(field)
+    if not amount:
+        raise ValueError('a rate, size or duration of an engine is 0')
+    return amount
+
+
+def _read_time(field: Any) -> Millis:
+    """Return a target that messages can carry; 0 if there is none."""
+    return min(max(0, int(field or 0)), _MAX_MILLIS)
+
+
 def _decode_route(fields: Mapping[str, Any]) -> Route:
     split = fields.get('traffic-split')
     attempts = fields.get('attempts')
@@ -160,14 +192,14 @@
         host=read_text(fields['host']).lower(),
         prefix=read_text(fields['path-prefix']),
         kind=_KIND_BY_NAME[fields['kind']],
-        time_limit=read_integer(fields['timeout-ms']),
-        target_latency=int(fields.get('target-latency-ms') or 0),
+        time_limit=min(read_integer(fields['timeout-ms']), _MAX_MILLIS),
+        target_latency=_read_time(fields.get('target-latency-ms')),
         priority=int(fields.get('priority') or 0),
         targets=targets,
         max_attempts=1 if attempts is None else max(0, int(attempts)),
         public=fields.get('public') is True,
         resumable=fields.get('resumable') is True,
-        target_pause=int(fields.get('target-gap-ms') or 0),
+        target_pause=_read_time(fields.get('target-gap-ms')),
     )
 
 
