--- a/tests/test_gateway_repeated_sends.py
+++ b/tests/test_gateway_repeated_sends.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from tests.gateway_harness import GatewayHarness, config, route
+from tests.gateway_harness import (
+    API_KEY,
+    GatewayHarness,
+    config,
+    request,
+    route,
+)
 from tests.standins.platform_worker import (
     LAST_CHUNK,
     chunk,
@@ -119,3 +125,32 @@
                 after = await self.harness.send('/hold/1', attempt_id='a2')
                 self.assertEqual(after.status, status)
                 await self.harness.stop()
+
+
+class LeavingCallerTest(GatewayTest):
+    # A booking ran twice: its caller left between its answer and the notice of
+    # the loss, so the answer could not be written, and it was sent again.
+    async def test_caller_that_leaves_as_the_answer_arrives(self):
+        await self.serve('ledger', respond)
+        server = self.harness.server
+        pool = self.harness.context.pool
+        keep = pool.release
+
+        def release(worker, connection):
+            """Keep a connection, and lose the caller's at the same time."""
+            for caller in server.connections:
+                caller.close()
+            keep(worker, connection)
+
+        pool.release = release
+        for path, method in (('/hold/1', 'POST'), ('/check/1', 'GET')):
+            with self.subTest(path=path):
+                self.harness.workers[0].requests.clear()
+                # One for a second send, which needs no wait then.
+                for _ in range(2):
+                    await pool.open_idle(self.harness.view.worker_by_id['w0'])
+                _, writer = await self.harness.connect()
+                writer.write(request(path, path, '', b'', method, API_KEY))
+                await asyncio.sleep(0.2)
+                self.assertEqual(self.run_count(), 1)
+                writer.close()
--- a/verbenathread/gateway/reply.py
+++ b/verbenathread/gateway/reply.py
@@ -8,12 +8,15 @@
     """A response to a caller, or to the gateway that it called."""
 
     done: bool
-    is_disconnected: bool
     # Called when the caller disconnects before the response is done.
     on_disconnect: Callable[[], None] | None
     # Called with True when too much is buffered and with False after that.
     on_backpressure: Callable[[bool], None] | None
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Return whether nothing more reaches the caller."""
+
     def send(
         self,
         status: int,
--- a/verbenathread/http1/response.py
+++ b/verbenathread/http1/response.py
@@ -49,12 +49,21 @@
         self.done = False
         # The head says that the connection closes after this response.
         self.announced_close = False
-        self.is_disconnected = False
+        self._is_lost = False
         self.on_disconnect: Callable[[], None] | None = None
         # Called with True when the write buffer is full and with False once it
         # has drained.
         self.on_backpressure: Callable[[bool], None] | None = None
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Return whether the client can receive nothing more.
+
+        That is so from the moment at which its connection begins to close; the
+        loss is notified later.
+        """
+        return self._is_lost or self._transport.is_closing()
+
     def send(
         self,
         status: int,
@@ -121,13 +130,13 @@
 
     def connection_lost(self) -> None:
         """Handle the loss of the client's connection."""
-        self.is_disconnected = True
+        self._is_lost = True
         if self.on_disconnect is not None and not self.done:
             self.on_disconnect()
 
     def _is_closed(self) -> bool:
         """Return whether nothing more can be written."""
-        return self.done or self.is_disconnected or self._transport.is_closing()
+        return self.done or self.is_disconnected
 
     def _connection_header(self) -> bytes:
         self.announced_close = self._owner.closes_after_response()
