--- a/verbenathread/http1/reading.py
+++ b/verbenathread/http1/reading.py
@@ -9,7 +9,7 @@
 import asyncio
 
 # Bytes that are parsed before the event loop serves other connections.
-READ_BYTES = 0x4000
+READ_BYTES = 0x8000
 
 # Shared by all connections: it is filled and parsed in one callback.
 _buffer = bytearray(READ_BYTES)
